--- a/src/main/java/shalequay/benchlink/Link.java
+++ b/src/main/java/rosecleat/benchlink/Link.java
@@ -1,4 +1,4 @@
-package shalequay.benchlink;
+package rosecleat.benchlink;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -9,9 +9,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import shalequay.Policy;
-import shalequay.PolicyApi;
-import shalequay.PolicyApi.Outcome;
+import rosecleat.policy.Policy;
+import rosecleat.policy.PolicyApi;
+import rosecleat.policy.PolicyApi.Outcome;
 
 /** Reads batches of events, hands each to the policy of its server, and writes one reply to each batch. */
 final class Link {
--- a/src/main/java/shalequay/benchlink/Main.java
+++ b/src/main/java/rosecleat/benchlink/Main.java
@@ -1,4 +1,4 @@
-package shalequay.benchlink;
+package rosecleat.benchlink;
 
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -23,17 +23,17 @@
   /** Returns the exit code: 0 at the end of the input, 2 for wrong words or wrong input, with a line on standard error. */
   static int run(String[] args, InputStream in, OutputStream out) {
     if (args.length != 1 || !args[0].equals("benchlink")) {
-      System.err.println("usage: java -jar shalequay.jar benchlink");
+      System.err.println("usage: java -jar rosecleat.jar benchlink");
       return 2;
     }
     try {
       new Link(in, out).serve();
       return 0;
     } catch (WireException e) {
-      System.err.println("shalequay: " + e.getMessage());
+      System.err.println("rosecleat: " + e.getMessage());
       return 2;
     } catch (IOException e) {
-      System.err.println("shalequay: input or output failed: " + e.getMessage());
+      System.err.println("rosecleat: input or output failed: " + e.getMessage());
       return 2;
     }
   }
--- a/src/main/java/shalequay/benchlink/Reply.java
+++ b/src/main/java/rosecleat/benchlink/Reply.java
@@ -1,4 +1,4 @@
-package shalequay.benchlink;
+package rosecleat.benchlink;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -6,7 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import shalequay.PolicyApi;
+import rosecleat.policy.PolicyApi;
 
 /** One reply frame under construction: fixed records, then a tail of texts. */
 final class Reply {
--- a/src/main/java/shalequay/benchlink/SettingsReader.java
+++ b/src/main/java/rosecleat/benchlink/SettingsReader.java
@@ -1,4 +1,4 @@
-package shalequay.benchlink;
+package rosecleat.benchlink;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -6,11 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import shalequay.PolicyApi;
-import shalequay.PolicyApi.Below;
-import shalequay.PolicyApi.Effect;
-import shalequay.PolicyApi.Halt;
-import shalequay.PolicyApi.Say;
+import rosecleat.policy.PolicyApi;
+import rosecleat.policy.PolicyApi.Below;
+import rosecleat.policy.PolicyApi.Effect;
+import rosecleat.policy.PolicyApi.Halt;
+import rosecleat.policy.PolicyApi.Say;
 
 /** Turns the settings text of a start into the module's settings. Keys it does not know are skipped. */
 final class SettingsReader {
--- a/src/main/java/shalequay/benchlink/WireException.java
+++ b/src/main/java/rosecleat/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package shalequay.benchlink;
+package rosecleat.benchlink;
 
 /** Input that is not the wire; its message is the one line the process ends with. */
 final class WireException extends RuntimeException {
--- a/src/main/java/shalequay/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -1,5 +1,5 @@
 // The decisions of one server. Its interface (events in, actions out, settings) is PolicyApi.java.
-package shalequay;
+package rosecleat.policy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/shalequay/PolicyApi.java
+++ b/src/main/java/rosecleat/policy/PolicyApi.java
@@ -1,4 +1,4 @@
-package shalequay;
+package rosecleat.policy;
 
 import java.util.List;
 
--- a/src/test/java/shalequay/benchlink/LinkTest.java
+++ b/src/test/java/rosecleat/benchlink/LinkTest.java
@@ -1,4 +1,4 @@
-package shalequay.benchlink;
+package rosecleat.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -18,7 +18,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import shalequay.PolicyApi;
+import rosecleat.policy.PolicyApi;
 
 /** The wire both ways, settings, and bad input. */
 class LinkTest {
@@ -277,7 +277,7 @@
     try {
       String[] word = {"benchlink"};
       assertEquals(2, Main.run(word, new ByteArrayInputStream(new byte[3]), out));
-      assertEquals("shalequay: input ends inside a frame header" + System.lineSeparator(),
+      assertEquals("rosecleat: input ends inside a frame header" + System.lineSeparator(),
           lines.toString(StandardCharsets.UTF_8));
       assertEquals(0, Main.run(word, new ByteArrayInputStream(new byte[0]), out));
       assertEquals(2, Main.run(new String[0], new ByteArrayInputStream(new byte[0]), out));
--- a/src/test/java/shalequay/EmbeddingExampleTest.java
+++ b/src/test/java/rosecleat/policy/EmbeddingExampleTest.java
@@ -1,4 +1,4 @@
-package shalequay;
+package rosecleat.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -8,14 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import shalequay.PolicyApi.Below;
-import shalequay.PolicyApi.Effect;
-import shalequay.PolicyApi.Halt;
-import shalequay.PolicyApi.Klass;
-import shalequay.PolicyApi.Outcome;
-import shalequay.PolicyApi.Request;
-import shalequay.PolicyApi.Say;
-import shalequay.PolicyApi.Settings;
+import rosecleat.policy.PolicyApi.Below;
+import rosecleat.policy.PolicyApi.Effect;
+import rosecleat.policy.PolicyApi.Halt;
+import rosecleat.policy.PolicyApi.Klass;
+import rosecleat.policy.PolicyApi.Outcome;
+import rosecleat.policy.PolicyApi.Request;
+import rosecleat.policy.PolicyApi.Say;
+import rosecleat.policy.PolicyApi.Settings;
 
 /** The README's example of a host; kept here so that it compiles and runs with the tests. */
 class EmbeddingExampleTest {
--- a/src/test/java/shalequay/Host.java
+++ b/src/test/java/rosecleat/policy/Host.java
@@ -1,4 +1,4 @@
-package shalequay;
+package rosecleat.policy;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -9,13 +9,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import shalequay.PolicyApi.Actions;
-import shalequay.PolicyApi.Effect;
-import shalequay.PolicyApi.Gauges;
-import shalequay.PolicyApi.Halt;
-import shalequay.PolicyApi.Outcome;
-import shalequay.PolicyApi.Request;
-import shalequay.PolicyApi.Settings;
+import rosecleat.policy.PolicyApi.Actions;
+import rosecleat.policy.PolicyApi.Effect;
+import rosecleat.policy.PolicyApi.Gauges;
+import rosecleat.policy.PolicyApi.Halt;
+import rosecleat.policy.PolicyApi.Outcome;
+import rosecleat.policy.PolicyApi.Request;
+import rosecleat.policy.PolicyApi.Settings;
 
 /** A host for tests: passes events on, records actions, keeps the books and asserts the four rules at each action. */
 final class Host implements Actions {
--- a/src/test/java/shalequay/MechanismTest.java
+++ b/src/test/java/rosecleat/policy/MechanismTest.java
@@ -1,16 +1,16 @@
-package shalequay;
+package rosecleat.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import shalequay.PolicyApi.Below;
-import shalequay.PolicyApi.Halt;
-import shalequay.PolicyApi.Klass;
-import shalequay.PolicyApi.Outcome;
-import shalequay.PolicyApi.Say;
-import shalequay.PolicyApi.Tenant;
+import rosecleat.policy.PolicyApi.Below;
+import rosecleat.policy.PolicyApi.Halt;
+import rosecleat.policy.PolicyApi.Klass;
+import rosecleat.policy.PolicyApi.Outcome;
+import rosecleat.policy.PolicyApi.Say;
+import rosecleat.policy.PolicyApi.Tenant;
 
 /** The arithmetic of Algorithm 1 and when refusal binds. */
 class MechanismTest {
--- a/src/test/java/shalequay/RulesTest.java
+++ b/src/test/java/rosecleat/policy/RulesTest.java
@@ -1,4 +1,4 @@
-package shalequay;
+package rosecleat.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,12 +9,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import shalequay.PolicyApi.Below;
-import shalequay.PolicyApi.Effect;
-import shalequay.PolicyApi.Halt;
-import shalequay.PolicyApi.Klass;
-import shalequay.PolicyApi.Outcome;
-import shalequay.PolicyApi.Say;
+import rosecleat.policy.PolicyApi.Below;
+import rosecleat.policy.PolicyApi.Effect;
+import rosecleat.policy.PolicyApi.Halt;
+import rosecleat.policy.PolicyApi.Klass;
+import rosecleat.policy.PolicyApi.Outcome;
+import rosecleat.policy.PolicyApi.Say;
 
 /** The four rules and the failures found; {@link Host} asserts the rules at each action. */
 class RulesTest {
--- a/src/test/java/shalequay/Sites.java
+++ b/src/test/java/rosecleat/policy/Sites.java
@@ -1,13 +1,13 @@
-package shalequay;
+package rosecleat.policy;
 
 import java.util.List;
-import shalequay.PolicyApi.Below;
-import shalequay.PolicyApi.Effect;
-import shalequay.PolicyApi.Halt;
-import shalequay.PolicyApi.Klass;
-import shalequay.PolicyApi.Say;
-import shalequay.PolicyApi.Settings;
-import shalequay.PolicyApi.Tenant;
+import rosecleat.policy.PolicyApi.Below;
+import rosecleat.policy.PolicyApi.Effect;
+import rosecleat.policy.PolicyApi.Halt;
+import rosecleat.policy.PolicyApi.Klass;
+import rosecleat.policy.PolicyApi.Say;
+import rosecleat.policy.PolicyApi.Settings;
+import rosecleat.policy.PolicyApi.Tenant;
 
 /** Settings for tests; their figures are made up. */
 final class Sites {
