--- a/src/main/java/rosecleat/benchlink/Link.java
+++ b/src/main/java/rosecleat/benchlink/Link.java
@@ -9,6 +9,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import rosecleat.config.ConfigException;
+import rosecleat.config.SettingsReader;
 import rosecleat.policy.Policy;
 import rosecleat.policy.PolicyApi;
 import rosecleat.policy.PolicyApi.Outcome;
@@ -99,7 +101,7 @@
     int server = body.getShort(at + 2) & 0xffff;
     if (code == ENLIST) {
       String text = text(at + 12, tail, end);
-      SettingsReader.Start start = reader.read(text);
+      SettingsReader.Start start = settings(text);
       try {
         PolicyApi policy = maker.make(start.settings(), body.getLong(at + 4), reply.actionsOf(server));
         instances.put(server, new Instance(policy, start.gauges()));
@@ -126,6 +128,14 @@
     }
   }
 
+  private SettingsReader.Start settings(String text) {
+    try {
+      return reader.read(text);
+    } catch (ConfigException e) {
+      throw new WireException(e.getMessage());
+    }
+  }
+
   private void dispatch(long now, int code, int at, Instance instance) {
     PolicyApi policy = instance.policy;
     switch (code) {
--- a/src/main/java/rosecleat/benchlink/Main.java
+++ b/src/main/java/rosecleat/benchlink/Main.java
@@ -21,7 +21,7 @@
   }
 
   /** Returns the exit code: 0 at the end of the input, 2 for wrong words or wrong input, with a line on standard error. */
-  static int run(String[] args, InputStream in, OutputStream out) {
+  public static int run(String[] args, InputStream in, OutputStream out) {
     if (args.length != 1 || !args[0].equals("benchlink")) {
       System.err.println("usage: java -jar rosecleat.jar benchlink");
       return 2;
--- /dev/null
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -0,0 +1,101 @@
+package rosecleat.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.Map;
+import rosecleat.config.ConfigException;
+import rosecleat.config.NodeConfig;
+
+/** The command line. Wrong words and wrong configurations end with one line on standard error and exit code 2. */
+public final class Main {
+  /** The version that {@code version} prints; the jar's manifest has it. */
+  private static final String UNPACKED = "unpacked";
+
+  @Parameters(commandDescription = "run one card node, configured by PROXY_CONFIG")
+  private static final class Serve { }
+
+  @Parameters(commandDescription = "speak the simulator's wire on standard input and output")
+  private static final class Benchlink { }
+
+  @Parameters(commandDescription = "read the configuration and say whether it can be used")
+  private static final class Check { }
+
+  @Parameters(commandDescription = "print the version")
+  private static final class Version { }
+
+  @Parameters(commandDescription = "print this help")
+  private static final class Help { }
+
+  private Main() { }
+
+  /** Runs a sub-command and exits with its code. */
+  public static void main(String[] args) {
+    // taken from the descriptors, so that nothing else in the process can write to standard output
+    InputStream in = new FileInputStream(FileDescriptor.in);
+    OutputStream out = new FileOutputStream(FileDescriptor.out);
+    int code = run(args, System.getenv(), in, out);
+    if (code != Serving.GOES_ON) {
+      System.exit(code);
+    }
+  }
+
+  static int run(String[] args, Map<String, String> env, InputStream in, OutputStream out) {
+    JCommander commands = JCommander.newBuilder().programName("rosecleat").addCommand("serve", new Serve())
+        .addCommand("benchlink", new Benchlink()).addCommand("check", new Check())
+        .addCommand("version", new Version()).addCommand("help", new Help()).build();
+    try {
+      commands.parse(args);
+      String word = commands.getParsedCommand();
+      if (word == null) {
+        throw new ParameterException("a command is needed: serve, benchlink, check, version or help");
+      }
+      switch (word) {
+        case "serve" -> {
+          return Serving.start(NodeConfig.fromEnvironment(env));
+        }
+        case "benchlink" -> {
+          System.setOut(System.err);
+          return rosecleat.benchlink.Main.run(args, in, out);
+        }
+        case "check" -> {
+          NodeConfig config = NodeConfig.fromEnvironment(env);
+          print(out, "the configuration of " + config.name() + " can be used");
+        }
+        case "version" -> print(out, "rosecleat " + version());
+        default -> {
+          StringBuilder text = new StringBuilder();
+          commands.getUsageFormatter().usage(text);
+          print(out, text.toString().strip());
+        }
+      }
+      return 0;
+    } catch (ParameterException | ConfigException e) {
+      System.err.println("rosecleat: " + oneLine(e.getMessage()));
+      return 2;
+    } catch (IOException e) {
+      System.err.println("rosecleat: " + oneLine(String.valueOf(e.getMessage())));
+      return 2;
+    }
+  }
+
+  private static String version() {
+    String packed = Main.class.getPackage().getImplementationVersion();
+    return packed == null ? UNPACKED : packed;
+  }
+
+  private static String oneLine(String text) {
+    return text.replaceAll("\\s*\\R\\s*", " ");
+  }
+
+  private static void print(OutputStream out, String text) throws IOException {
+    out.write((text + System.lineSeparator()).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    out.flush();
+  }
+}
--- a/src/main/java/rosecleat/benchlink/SettingsReader.java
+++ b/src/main/java/rosecleat/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package rosecleat.benchlink;
+package rosecleat.config;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -13,7 +13,7 @@
 import rosecleat.policy.PolicyApi.Say;
 
 /** Turns the settings text of a start into the module's settings. Keys it does not know are skipped. */
-final class SettingsReader {
+public final class SettingsReader {
   private static final Map<String, Effect> EFFECTS =
       Map.of("pure", Effect.SAFE, "token", Effect.KEYED, "side_effect", Effect.UNSAFE);
   private static final Map<String, Halt> HALTS = Map.of("off", Halt.OFF, "drop", Halt.DROP, "pause", Halt.PAUSE);
@@ -24,18 +24,20 @@
 
   private final ObjectMapper mapper = new ObjectMapper();
 
-  /** The settings, and the names of the gauges in the order they come. */
-  record Start(PolicyApi.Settings settings, List<String> gauges) { }
+  /** The settings, and the names of the gauges, classes and tenants in the order they come. */
+  public record Start(PolicyApi.Settings settings, List<String> gauges, List<String> classes,
+      List<String> tenants) { }
 
-  Start read(String text) {
+  /** Reads the settings text; what is missing or unknown is a {@link ConfigException} of one line. */
+  public Start read(String text) {
     JsonNode root;
     try {
       root = mapper.readTree(text);
     } catch (JsonProcessingException e) {
-      throw new WireException("settings are not JSON");
+      throw new ConfigException("settings are not JSON");
     }
     if (root == null || !root.isObject()) {
-      throw new WireException("settings are not a JSON object");
+      throw new ConfigException("settings are not a JSON object");
     }
     JsonNode extra = root.path("extra");
     JsonNode rules = root.path("rules");
@@ -50,7 +52,7 @@
           extra.path("class-calls").path(i).asBoolean(), extra.path("worth-without").path(i).asDouble()));
     }
     if (classes.isEmpty()) {
-      throw new WireException("settings lack grades");
+      throw new ConfigException("settings lack grades");
     }
     List<PolicyApi.Tenant> tenants = new ArrayList<>();
     for (JsonNode p : root.path("parties")) {
@@ -77,13 +79,21 @@
         word(BELOWS, extra.path("below"), "below"), extra.path("calls-out").asDouble(),
         extra.path("calls-over-us").asLong(), extra.path("lingers-us").asLong(), root.path("round-us").asLong(),
         List.copyOf(classes), List.copyOf(tenants));
-    return new Start(settings, List.copyOf(gauges));
+    return new Start(settings, List.copyOf(gauges), names(grades), names(root.path("parties")));
+  }
+
+  private static List<String> names(JsonNode list) {
+    List<String> names = new ArrayList<>();
+    for (JsonNode entry : list) {
+      names.add(entry.path("name").asText());
+    }
+    return List.copyOf(names);
   }
 
   private static JsonNode need(JsonNode node, String key) {
     JsonNode found = node.path(key);
     if (found.isMissingNode() || found.isNull()) {
-      throw new WireException("settings lack " + key);
+      throw new ConfigException("settings lack " + key);
     }
     return found;
   }
@@ -91,7 +101,7 @@
   private static <T> T word(Map<String, T> words, JsonNode node, String what) {
     T found = words.get(node.isMissingNode() || node.isNull() ? "off" : node.asText());
     if (found == null) {
-      throw new WireException("settings have an unknown word for " + what);
+      throw new ConfigException("settings have an unknown word for " + what);
     }
     return found;
   }
--- /dev/null
+++ b/src/main/java/rosecleat/core/KeyTable.java
@@ -0,0 +1,163 @@
+package rosecleat.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What is known of keyed requests: which try ran, what came of it, and which tries wait for that. Results
+ * are kept byte for byte, within a bound; where one had to go, later repeats fail rather than run again.
+ */
+final class KeyTable {
+  /** One request with all its tries. */
+  static final class Entry {
+    private final Key key;
+    private final int digest;
+    private Life owner;
+    private long untilUs;
+    private boolean ran;
+    private boolean ended;
+    private byte[] result;
+    private List<Life> waiting = new ArrayList<>();
+
+    private Entry(Key key, int digest) {
+      this.key = key;
+      this.digest = digest;
+    }
+
+    /** The result, or null while there is none or where there will be none. */
+    byte[] result() {
+      return result;
+    }
+
+    /** Whether the run has ended. */
+    boolean ended() {
+      return ended;
+    }
+  }
+
+  private record Key(int klass, int tenant, String once) { }
+
+  private final long lateUs;
+  private final long resultBytes;
+  private final Map<Key, Entry> entries = new HashMap<>();
+  private final ArrayDeque<Entry> results = new ArrayDeque<>();
+  private long held;
+
+  /** A table that keeps lapsed entries {@code lateUs} longer, for tries that are read late. */
+  KeyTable(long lateUs, long resultBytes) {
+    this.lateUs = lateUs;
+    this.resultBytes = resultBytes;
+  }
+
+  private static Key key(Ask ask) {
+    return new Key(ask.klass(), ask.tenant(), ask.once());
+  }
+
+  /** The entry that was in force when the request came to the machine, or null. */
+  Entry find(Ask ask) {
+    Entry entry = entries.get(key(ask));
+    return entry == null || ask.atUs() > entry.untilUs ? null : entry;
+  }
+
+  /** The number of the kept try that this one repeats, 0 for new work. */
+  long original(Ask ask) {
+    Entry entry = find(ask);
+    return entry != null && (entry.ran || entry.owner.state == Life.State.HELD) ? entry.owner.seq : 0;
+  }
+
+  /** Whether a known request with this key carries another body: not a repeat but a mistake. */
+  boolean differs(Ask ask) {
+    Entry entry = find(ask);
+    return entry != null && entry.digest != Arrays.hashCode(ask.body());
+  }
+
+  /** Enters a try, or renews its entry; a try whose request ran stays in its place. */
+  void keep(Life life, long untilUs) {
+    Key key = key(life.ask);
+    Entry entry = entries.get(key);
+    if (entry == null || life.ask.atUs() > entry.untilUs) {
+      drop(entry);
+      entry = new Entry(key, Arrays.hashCode(life.ask.body()));
+      entries.put(key, entry);
+    }
+    if (!entry.ran) {
+      entry.owner = life;
+    }
+    entry.untilUs = Math.max(entry.untilUs, untilUs);
+  }
+
+  /** A try is about to run: its entry stays in force until {@code untilUs} at least. */
+  void running(Life life, long untilUs) {
+    keep(life, untilUs);
+    entries.get(key(life.ask)).ran = true;
+  }
+
+  /** Takes out the entry of a try that never ran. */
+  void forget(Life life) {
+    Entry entry = entries.get(key(life.ask));
+    if (entry != null && entry.owner == life && !entry.ran) {
+      entries.remove(entry.key);
+    }
+  }
+
+  /** The run of a try is over, with its result or without (null). Returns those that waited for it. */
+  List<Life> ended(Life life, byte[] result) {
+    Entry entry = entries.get(key(life.ask));
+    if (entry == null || entry.owner != life) {
+      return List.of();
+    }
+    entry.ended = true;
+    if (result != null) {
+      entry.result = result;
+      results.add(entry);
+      held += result.length;
+      while (held > resultBytes) {
+        release(results.remove());
+      }
+    }
+    List<Life> waited = entry.waiting;
+    entry.waiting = new ArrayList<>();
+    return waited;
+  }
+
+  /** Lets a repeat wait for the end of the run. */
+  void wait(Entry entry, Life life) {
+    entry.waiting.add(life);
+  }
+
+  /** Drops what no try can ask for any more. */
+  void expire(long nowUs) {
+    Iterator<Entry> all = entries.values().iterator();
+    while (all.hasNext()) {
+      Entry entry = all.next();
+      if (nowUs > entry.untilUs + lateUs && entry.waiting.isEmpty()) {
+        all.remove();
+        drop(entry);
+      }
+    }
+  }
+
+  private void drop(Entry entry) {
+    if (entry != null && results.remove(entry)) {
+      release(entry);
+    }
+  }
+
+  private void release(Entry entry) {
+    held -= entry.result == null ? 0 : entry.result.length;
+    entry.result = null;
+  }
+
+  int size() {
+    return entries.size();
+  }
+
+  long heldBytes() {
+    return held;
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -0,0 +1,193 @@
+package rosecleat.front.resp;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import rosecleat.core.Answer;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.core.Fault;
+import rosecleat.core.Progress;
+import rosecleat.core.Runner;
+import rosecleat.log.Log;
+import rosecleat.net.Connection;
+import rosecleat.net.EventLoop;
+import rosecleat.net.Listener;
+
+/** The platform's front: balancers' RESP2 connections, turned into requests to the core and back. */
+public final class RespFront {
+  private static final int LONGEST_STRING = 4 << 10;
+  private static final int MOST_OPEN = 32;
+  private static final Connection.Limits LIMITS = new Connection.Limits(8 << 10, 64 << 10, 1 << 20, 5_000_000);
+
+  private final Core core;
+  private final Counters counters;
+  private final LongSupplier clock;
+  private final Log log;
+  private final Fields fields;
+  private final Listener listener;
+  private final Set<Peer> peers = new LinkedHashSet<>();
+
+  /** Listens for balancers; at most {@code most} connections are open at a time. */
+  public RespFront(EventLoop loop, InetSocketAddress at, int most, Core core, Names names, LongSupplier clock,
+      Log log) throws IOException {
+    this.core = core;
+    this.clock = clock;
+    this.log = log;
+    counters = core.counters();
+    fields = new Fields(names.classes(), names.tenants(), names.runner());
+    listener = new Listener(loop, at, most, LIMITS, this::adopt);
+  }
+
+  /** The names that requests may use, and what runs them. */
+  public record Names(List<Core.Klass> classes, List<String> tenants, Runner runner) { }
+
+  /** The port it listens on. */
+  public int port() {
+    return listener.port();
+  }
+
+  /** Connections that are open. */
+  public int open() {
+    return peers.size();
+  }
+
+  /** Accepts no further connection. */
+  public void stopListening() {
+    listener.close();
+  }
+
+  /** Asks balancers to close every connection that has stood idle for its time, or all of them. */
+  public void sweep(boolean all) {
+    long now = clock.getAsLong();
+    long idleUs = core.idleUs();
+    for (Peer peer : new ArrayList<>(peers)) {
+      if (all || peer.open.isEmpty() && !peer.checks && now - peer.usedUs > idleUs) {
+        peer.bye();
+      }
+    }
+  }
+
+  private void adopt(Connection connection) {
+    Peer peer = new Peer(connection);
+    peers.add(peer);
+    counters.add("resp.connections");
+    connection.start(peer);
+  }
+
+  /** One balancer's connection. */
+  private final class Peer implements Connection.Owner {
+    private final Connection connection;
+    private final RespParser parser = new RespParser(LONGEST_STRING);
+    private final Tags tags = new Tags();
+    private final Map<Long, Core.Handle> open = new HashMap<>();
+    private long usedUs = clock.getAsLong();
+    private boolean checks;
+    private boolean leaving;
+
+    Peer(Connection connection) {
+      this.connection = connection;
+    }
+
+    @Override public void received(ByteBuffer bytes) {
+      usedUs = clock.getAsLong();
+      try {
+        for (List<byte[]> words = parser.next(bytes); words != null && !connection.isClosed();
+            words = parser.next(bytes)) {
+          message(words);
+        }
+      } catch (RespParser.Malformed e) { // guards the rest: one stream that makes no sense ends alone
+        counters.add("resp.malformed");
+        log.warn("a balancer's connection is closed: " + e.getMessage());
+        connection.close(e.getMessage());
+      }
+    }
+
+    @Override public void closed(Fault fault, boolean atEnd) {
+      peers.remove(this);
+      listener.released();
+      for (Core.Handle handle : new ArrayList<>(open.values())) {
+        handle.gone(); // nobody is left to hear the answer
+      }
+      open.clear();
+    }
+
+    private void message(List<byte[]> words) throws RespParser.Malformed {
+      String word = words.get(0) == null ? "" : Fields.text(words.get(0));
+      String number = words.size() < 2 || words.get(1) == null ? "" : Fields.text(words.get(1));
+      if (!number.matches("[1-9][0-9]{0,17}")) {
+        throw new RespParser.Malformed("a message with no readable tag");
+      }
+      long tag = Long.parseLong(number);
+      switch (word) {
+        case "DO" -> request(tag, words);
+        case "UNDO" -> {
+          Core.Handle handle = open.remove(tag);
+          if (handle != null) {
+            counters.add("resp.undo");
+            handle.gone();
+          }
+        }
+        case "PING" -> {
+          checks = true;
+          counters.add("resp.checks");
+          connection.write(RespReplies.health(tag, core.good(), core.credit()));
+        }
+        default -> failed(tag, "its word is unknown");
+      }
+    }
+
+    private void request(long tag, List<byte[]> words) {
+      checks = false;
+      if (!tags.use(tag)) {
+        failed(tag, "its tag was used before");
+        return;
+      }
+      if (open.size() >= MOST_OPEN) {
+        failed(tag, "too many requests are open on its connection");
+        return;
+      }
+      boolean[] answered = new boolean[1];
+      Fields.Outcome read = fields.read(words, answer -> {
+        answered[0] = true;
+        open.remove(tag);
+        reply(tag, answer);
+      });
+      if (read.wrong() != null) {
+        failed(tag, read.wrong());
+        return;
+      }
+      Core.Handle handle = core.submit(read.ask());
+      if (!answered[0]) {
+        open.put(tag, handle);
+      }
+    }
+
+    private void reply(long tag, Answer answer) {
+      usedUs = clock.getAsLong();
+      connection.write(RespReplies.answer(tag, answer, core.credit()));
+    }
+
+    private void failed(long tag, String why) {
+      counters.add("resp.bad");
+      log.warn("request " + tag + " of a balancer failed: " + why);
+      connection.write(RespReplies.answer(tag, new Answer.Failed(
+          new Fault(Progress.NOT_SENT, why), Answer.Cause.CALLER), core.credit()));
+    }
+
+    private void bye() {
+      if (!leaving) {
+        leaving = true;
+        counters.add("resp.bye");
+        connection.write(RespReplies.bye());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/front/resp/RespReplies.java
@@ -0,0 +1,66 @@
+package rosecleat.front.resp;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import rosecleat.core.Answer;
+
+/** Writes answers as RESP arrays of bulk strings. */
+final class RespReplies {
+  private static final byte[] NOTHING = new byte[0];
+
+  private RespReplies() { }
+
+  static ByteBuffer bye() {
+    return array(bytes("0"), bytes("BYE"));
+  }
+
+  static ByteBuffer health(long tag, boolean good, double credit) {
+    return array(tag(tag), bytes(good ? "UP" : "DOWN"), bytes(say(credit)));
+  }
+
+  static ByteBuffer answer(long tag, Answer answer, double credit) {
+    String say = say(credit);
+    if (answer instanceof Answer.Served served) {
+      return array(tag(tag), bytes("OK"), bytes(say), served.result());
+    }
+    if (answer instanceof Answer.Refused refused) {
+      String after = refused.holdOffUs() > 0 ? "after=" + (refused.holdOffUs() + 999) / 1000 : "";
+      return array(tag(tag), bytes("BUSY"), bytes(join(say, after, refused.last() ? "last=1" : "")), NOTHING);
+    }
+    return array(tag(tag), bytes("FAILED"), bytes(say), NOTHING);
+  }
+
+  private static String say(double credit) {
+    return Double.isNaN(credit) ? "" : String.format(Locale.ROOT, "say=%.4f", credit);
+  }
+
+  private static String join(String... fields) {
+    StringBuilder all = new StringBuilder();
+    for (String field : fields) {
+      all.append(all.length() == 0 || field.isEmpty() ? "" : ",").append(field);
+    }
+    return all.toString();
+  }
+
+  private static byte[] tag(long tag) {
+    return bytes(Long.toString(tag));
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static ByteBuffer array(byte[]... words) {
+    int size = 16;
+    for (byte[] word : words) {
+      size += word.length + 16;
+    }
+    ByteBuffer out = ByteBuffer.allocate(size);
+    out.put(bytes("*" + words.length + "\r\n"));
+    for (byte[] word : words) {
+      out.put(bytes("$" + word.length + "\r\n")).put(word).put((byte) '\r').put((byte) '\n');
+    }
+    return out.flip();
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -0,0 +1,104 @@
+package rosecleat.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.function.Consumer;
+import rosecleat.log.Log;
+
+/** A listening socket whose accept is always re-armed: at once after a success, a little later after a failure. */
+public final class Listener {
+  private static final int BACKLOG = 1024;
+  private static final long RETRY_US = 20_000;
+
+  private final EventLoop loop;
+  private final AsynchronousServerSocketChannel server;
+  private final Connection.Limits limits;
+  private final Consumer<Connection> taker;
+  private final Log log;
+  private final int most;
+  private int open;
+  private boolean waiting;
+  private boolean closed;
+
+  /** Listens at an address; each connection is handed over on the loop. At {@code most} open it accepts no more. */
+  public Listener(EventLoop loop, InetSocketAddress at, int most, Connection.Limits limits,
+      Consumer<Connection> taker) throws IOException {
+    this.loop = loop;
+    this.limits = limits;
+    this.taker = taker;
+    this.most = most;
+    log = loop.log();
+    server = AsynchronousServerSocketChannel.open(loop.group());
+    try {
+      server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      server.bind(at, BACKLOG);
+    } catch (IOException | RuntimeException e) {
+      Connection.closeQuietly(server);
+      throw e;
+    }
+    loop.execute(this::accept);
+  }
+
+  /** The port it listens on. */
+  public int port() {
+    try {
+      return ((InetSocketAddress) server.getLocalAddress()).getPort();
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  /** A connection taken here has ended: its place is free again. */
+  public void released() {
+    open--;
+    if (waiting && open < most) {
+      waiting = false;
+      accept();
+    }
+  }
+
+  /** Accepts nothing more; connections already taken stay. */
+  public void close() {
+    closed = true;
+    Connection.closeQuietly(server);
+  }
+
+  private void accept() {
+    if (closed) {
+      return;
+    }
+    if (open >= most) { // guards the limit on descriptors: the rest wait unaccepted
+      waiting = true;
+      log.warn(open + " connections are open, no more are accepted");
+      return;
+    }
+    try {
+      server.accept(null, Connection.handler(loop, this::accepted, this::refused));
+    } catch (RuntimeException e) {
+      refused(e);
+    }
+  }
+
+  private void accepted(AsynchronousSocketChannel channel) {
+    open++;
+    try {
+      taker.accept(new Connection(loop, channel, limits));
+    } catch (RuntimeException e) {
+      log.warn("a connection could not be taken: " + e);
+      Connection.closeQuietly(channel);
+      open--;
+    }
+    accept();
+  }
+
+  /** Guards against running out of descriptors: a failed accept is tried again, it never ends the listening. */
+  private void refused(Throwable e) {
+    if (!closed) {
+      log.warn("accept failed: " + e.getMessage());
+      loop.after(RETRY_US, this::accept);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/policy/Decisions.java
@@ -0,0 +1,256 @@
+package rosecleat.policy;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import rosecleat.policy.PolicyApi.Gauges;
+import rosecleat.policy.PolicyApi.Outcome;
+import rosecleat.policy.PolicyApi.Request;
+import rosecleat.policy.PolicyApi.Settings;
+
+/**
+ * The module as its hosts see it: {@link #report} what happened, {@link #pick} the next order, and
+ * {@link #tick} for the timers. Orders are values and come in the order the module gave them; nothing calls
+ * back. Not thread-safe.
+ */
+public final class Decisions {
+  /** What has happened. */
+  public sealed interface Report {
+    /** A request was read and is held. */
+    record Arrived(long id, int klass, int tenant, long key, long leftUs, double heldKb, double rank,
+        boolean retry, boolean write, long caller, long ageUs, long original) implements Report { }
+
+    /** A run or a reuse is over. */
+    record Ended(long id, RunOutcome outcome, long tookUs) implements Report { }
+
+    /** A run stands still at a call. */
+    record NeedsCall(long id) implements Report { }
+
+    /** A call below is over. */
+    record Called(long id, CallOutcome outcome, long tookUs) implements Report { }
+
+    /** The caller has gone. */
+    record Gone(long id) implements Report { }
+
+    /** Notice to leave. */
+    record Draining(long leftUs) implements Report { }
+
+    /** The gauges as last read, in the order of the settings. */
+    record GaugesRead(double[] values) implements Report { }
+  }
+
+  /** How a run ended. */
+  public enum RunOutcome { OK, FAILED, HALTED, MOOT }
+
+  /** How a call ended. */
+  public enum CallOutcome { OK, FAILED, SHED, TIMEOUT, UNREACHED, CUT }
+
+  /** What is to be done. */
+  public sealed interface Order {
+    /** Run a held request. */
+    record Run(long id) implements Order { }
+
+    /** Turn it away. */
+    record Refuse(long id, long holdOffUs, boolean last) implements Order { }
+
+    /** Fail it. */
+    record Fail(long id) implements Order { }
+
+    /** Stop its run. */
+    record Halt(long id) implements Order { }
+
+    /** Make its call, until a time. */
+    record Call(long id, long untilUs) implements Order { }
+
+    /** Go on without its call. */
+    record SkipCall(long id) implements Order { }
+
+    /** Remember its key from now on. */
+    record Keep(long id, long forUs) implements Order { }
+
+    /** Forget its key. */
+    record Forget(long id) implements Order { }
+
+    /** Answer it from another try's result. */
+    record Reuse(long id) implements Order { }
+
+    /** What health checks hear. */
+    record Health(boolean good) implements Order { }
+
+    /** The value that goes with answers. */
+    record Say(double value) implements Order { }
+
+    /** How long unused connections stay; 0 is the longest. */
+    record Idle(long us) implements Order { }
+
+    /** A line for the log. */
+    record Note(String line) implements Order { }
+  }
+
+  private record Timer(long atUs, long nr, long tag) { }
+
+  private final Settings settings;
+  private final List<String> gaugeNames;
+  private final long seed;
+  private final ArrayDeque<Order> orders = new ArrayDeque<>();
+  private final PriorityQueue<Timer> timers =
+      new PriorityQueue<>(Comparator.comparingLong(Timer::atUs).thenComparingLong(Timer::nr));
+  private final Gauges gauges = new Gauges();
+  private Policy policy;
+  private long now;
+  private long nr;
+
+  /** Decisions under these settings; the gauges are named in the order they will come. */
+  public Decisions(Settings settings, List<String> gaugeNames, long seed) {
+    this.settings = settings;
+    this.gaugeNames = List.copyOf(gaugeNames);
+    this.seed = seed;
+  }
+
+  /** Starts the module as of a moment that may have passed: when the cores it rules came up, cold or warm. */
+  public void begin(long sinceUs, boolean cold) {
+    now = sinceUs;
+    policy = new Policy(withCold(settings, cold), seed, new Collector());
+    policy.begin(sinceUs);
+  }
+
+  /** Whether {@link #begin} has been called. */
+  public boolean begun() {
+    return policy != null;
+  }
+
+  /** Tells the module what happened at a time. */
+  public void report(long nowUs, Report report) {
+    now = Math.max(now, nowUs);
+    if (report instanceof Report.Arrived a) {
+      policy.arrived(now, new Request(a.id, a.klass, a.tenant, a.key, a.leftUs, 0, a.heldKb, a.rank, a.retry,
+          a.write, a.caller, a.ageUs, a.original));
+    } else if (report instanceof Report.Ended e) {
+      policy.ended(now, e.id, outcome(e.outcome), e.tookUs);
+    } else if (report instanceof Report.NeedsCall n) {
+      policy.needsCall(now, n.id);
+    } else if (report instanceof Report.Called c) {
+      policy.called(now, c.id, outcome(c.outcome), c.tookUs);
+    } else if (report instanceof Report.Gone g) {
+      policy.gone(now, g.id);
+    } else if (report instanceof Report.Draining d) {
+      policy.drain(now, d.leftUs);
+    } else if (report instanceof Report.GaugesRead r) {
+      read(r.values);
+    }
+  }
+
+  /** The next order, null where there is none. */
+  public Order pick() {
+    return orders.poll();
+  }
+
+  /** Runs the timers that are due and returns when the next one is. */
+  public long tick(long nowUs) {
+    now = Math.max(now, nowUs);
+    while (!timers.isEmpty() && timers.peek().atUs <= now) {
+      policy.woken(now, timers.poll().tag, gauges);
+    }
+    return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().atUs;
+  }
+
+  private void read(double[] values) {
+    for (int i = 0; i < Math.min(values.length, gaugeNames.size()); i++) {
+      switch (gaugeNames.get(i)) {
+        case "core_use" -> gauges.coreUse = values[i];
+        case "on_cores" -> gauges.onCores = values[i];
+        case "heap_share" -> gauges.memory = values[i];
+        case "links" -> gauges.connections = values[i];
+        default -> { } // a gauge the module has no use for
+      }
+    }
+  }
+
+  private static Outcome outcome(RunOutcome outcome) {
+    return switch (outcome) {
+      case OK -> Outcome.OK;
+      case FAILED -> Outcome.ERROR;
+      case HALTED -> Outcome.HALTED;
+      case MOOT -> Outcome.MOOT;
+    };
+  }
+
+  private static Outcome outcome(CallOutcome outcome) {
+    return switch (outcome) {
+      case OK -> Outcome.OK;
+      case FAILED -> Outcome.ERROR;
+      case SHED -> Outcome.FULL;
+      case TIMEOUT -> Outcome.TIMEOUT;
+      case UNREACHED -> Outcome.UNREACHED;
+      case CUT -> Outcome.RESET;
+    };
+  }
+
+  private static Settings withCold(Settings s, boolean cold) {
+    return new Settings(s.cores(), s.servers(), s.callers(), cold, s.coldShare(), s.warmUs(), s.memoryKb(),
+        s.runFactor(), s.keyKb(), s.fallMultiple(), s.fallSpanUs(), s.graceUs(), s.slackUs(), s.passesDeadline(),
+        s.tellsGone(), s.marksRetry(), s.worthByWork(), s.overShareWorth(), s.halt(), s.say(), s.heededUs(),
+        s.maxHoldOffUs(), s.readiness(), s.deepChecks(), s.idleUs(), s.shareReadsUs(), s.below(), s.callsOut(),
+        s.callsSpanUs(), s.callLingerUs(), s.roundUs(), s.classes(), s.tenants());
+  }
+
+  /** Turns the module's actions into orders. */
+  private final class Collector implements PolicyApi.Actions {
+    @Override public void run(long id) {
+      orders.add(new Order.Run(id));
+    }
+
+    @Override public void refuse(long id, long holdOffUs, boolean last) {
+      orders.add(new Order.Refuse(id, holdOffUs, last));
+    }
+
+    @Override public void fail(long id) {
+      orders.add(new Order.Fail(id));
+    }
+
+    @Override public void halt(long id) {
+      orders.add(new Order.Halt(id));
+    }
+
+    @Override public void call(long id, long untilUs) {
+      orders.add(new Order.Call(id, untilUs));
+    }
+
+    @Override public void skipCall(long id) {
+      orders.add(new Order.SkipCall(id));
+    }
+
+    @Override public void keep(long id, long forUs) {
+      orders.add(new Order.Keep(id, forUs));
+    }
+
+    @Override public void forget(long id) {
+      orders.add(new Order.Forget(id));
+    }
+
+    @Override public void reuse(long id) {
+      orders.add(new Order.Reuse(id));
+    }
+
+    @Override public void health(boolean good, boolean fromStore) {
+      orders.add(new Order.Health(good));
+    }
+
+    @Override public void say(double value) {
+      orders.add(new Order.Say(value));
+    }
+
+    @Override public void idle(long us) {
+      orders.add(new Order.Idle(us));
+    }
+
+    @Override public void wake(long inUs, long tag) {
+      timers.add(new Timer(now + inUs, nr++, tag));
+    }
+
+    @Override public void log(String line) {
+      orders.add(new Order.Note(line));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/roster/RosterClient.java
@@ -0,0 +1,200 @@
+package rosecleat.roster;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.Future;
+import rosecleat.core.Counters;
+import rosecleat.core.Fault;
+import rosecleat.log.Log;
+import rosecleat.net.Connection;
+import rosecleat.net.EventLoop;
+import rosecleat.net.LineBuffer;
+
+/** Reports this node to the roster once a second over HTTP/1.1, on one connection for as long as it lasts. */
+public final class RosterClient {
+  private static final long EACH_US = 1_000_000;
+  private static final long REPLY_US = 900_000;
+  private static final int LONGEST = 16 << 10;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final String name;
+  private final Counters counters;
+  private final Log log;
+  private Connection connection;
+  private LineBuffer lines;
+  private boolean dialling;
+  private boolean waiting;
+  private boolean on = true;
+  private boolean again;
+  private boolean closed;
+  private Future<?> patience;
+  private Reply reply;
+
+  /** The head of a reply as far as it has been read. */
+  private static final class Reply {
+    int status;
+    int length;
+    boolean whole;
+    boolean closes;
+  }
+
+  /** A client for the node of this name. */
+  public RosterClient(EventLoop loop, InetSocketAddress address, String name, Counters counters, Log log) {
+    this.loop = loop;
+    this.address = address;
+    this.name = name;
+    this.counters = counters;
+    this.log = log;
+  }
+
+  /** Begins to report, each second from now on. */
+  public void begin() {
+    if (closed) {
+      return;
+    }
+    report();
+    loop.after(EACH_US, this::begin);
+  }
+
+  /** Reports at once, and from now on, that this node leaves. */
+  public void leave() {
+    on = false;
+    report();
+  }
+
+  /** Reports no more. */
+  public void close() {
+    closed = true;
+    if (connection != null) {
+      connection.close("the program ends");
+    }
+  }
+
+  private void report() {
+    if (waiting) {
+      again = !on; // the notice to leave must not wait a second for its turn
+      return;
+    }
+    if (connection != null && !connection.isClosed()) {
+      send();
+    } else if (!dialling) {
+      dialling = true;
+      Connection.dial(loop, address, REPLY_US, Connection.Limits.SMALL, new Connection.Dialled() {
+        @Override public void connected(Connection fresh) {
+          dialling = false;
+          adopt(fresh);
+          send();
+        }
+
+        @Override public void failed(Fault fault) {
+          dialling = false;
+          counters.add("roster.failed");
+        }
+      });
+    }
+  }
+
+  private void adopt(Connection fresh) {
+    connection = fresh;
+    lines = new LineBuffer(LONGEST);
+    fresh.start(new Connection.Owner() {
+      @Override public void received(ByteBuffer bytes) {
+        if (!lines.add(bytes) || lines.tooLong()) {
+          fresh.close("the roster sent too much");
+          return;
+        }
+        read(fresh);
+      }
+
+      @Override public void closed(Fault fault, boolean atEnd) {
+        if (connection == fresh) {
+          connection = null;
+          if (waiting) {
+            counters.add("roster.failed");
+            done();
+          }
+        }
+      }
+    });
+  }
+
+  private void send() {
+    byte[] body = ("{\"duty\":\"" + (on ? "on" : "off") + "\"}").getBytes(StandardCharsets.US_ASCII);
+    String head = "PUT /roster/" + name + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
+        + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n";
+    byte[] start = head.getBytes(StandardCharsets.US_ASCII);
+    waiting = true;
+    reply = new Reply();
+    Connection used = connection;
+    patience = loop.after(REPLY_US, () -> used.close("the roster does not answer"));
+    used.write(ByteBuffer.allocate(start.length + body.length).put(start).put(body).flip());
+  }
+
+  private void read(Connection from) {
+    while (waiting) {
+      if (reply.whole) {
+        if (lines.block(reply.length) == null) {
+          return;
+        }
+        finished(from);
+        return;
+      }
+      String line = lines.line();
+      if (line == null) {
+        return;
+      }
+      if (!head(line.trim())) {
+        from.close("the roster sent no HTTP");
+        return;
+      }
+    }
+  }
+
+  private boolean head(String line) {
+    if (reply.status == 0) {
+      String[] words = line.split(" ");
+      if (words.length < 2 || !words[0].startsWith("HTTP/1.") || !words[1].matches("[1-5][0-9][0-9]")) {
+        return false;
+      }
+      reply.status = Integer.parseInt(words[1]);
+      return true;
+    }
+    String lower = line.toLowerCase(Locale.ROOT);
+    if (line.isEmpty()) {
+      reply.whole = true;
+    } else if (lower.startsWith("content-length:")) {
+      String length = lower.substring(15).trim();
+      if (!length.matches("[0-9]{1,4}")) {
+        return false;
+      }
+      reply.length = Integer.parseInt(length);
+    } else if (lower.startsWith("connection:") && lower.contains("close")) {
+      reply.closes = true;
+    }
+    return true;
+  }
+
+  private void finished(Connection from) {
+    counters.add(reply.status == 204 ? "roster.reports" : "roster.failed");
+    if (reply.status != 204) {
+      log.warn("the roster answered " + reply.status);
+    }
+    if (reply.closes) {
+      connection = null;
+      from.close("the roster closes");
+    }
+    done();
+  }
+
+  private void done() {
+    waiting = false;
+    patience.cancel(false);
+    if (again) {
+      again = false;
+      report();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -0,0 +1,213 @@
+package rosecleat.runtime;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Base64;
+import java.util.function.LongSupplier;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.core.Fault;
+import rosecleat.core.Runner;
+import rosecleat.log.Log;
+import rosecleat.net.Connection;
+import rosecleat.net.EventLoop;
+import rosecleat.net.LineBuffer;
+
+/**
+ * The link to the machine's runtime: commands out, notices in, each notice applied once. A link that
+ * breaks is made anew with the number of the last notice read.
+ */
+public final class RuntimeLink implements Runner {
+  private static final long DIAL_US = 2_000_000;
+  private static final long RETRY_US = 100_000;
+  private static final long GAUGES_US = 200_000;
+  private static final int LONGEST = 1 << 20;
+  private static final int WAITING = 4_096;
+  private static final Connection.Limits LIMITS = new Connection.Limits(16 << 10, 1 << 20, 4 << 20, 10_000_000);
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final Core core;
+  private final LongSupplier clock;
+  private final Counters counters;
+  private final Log log;
+  private final ArrayDeque<String> unsent = new ArrayDeque<>();
+  private Connection link;
+  private boolean ready;
+  private boolean closed;
+  private long lastNotice;
+  private long gaugesAskedUs;
+  private boolean gaugesOut;
+
+  /** A link to an address; {@link #connect} opens it. */
+  public RuntimeLink(EventLoop loop, InetSocketAddress address, Core core, LongSupplier clock, Log log) {
+    this.loop = loop;
+    this.address = address;
+    this.core = core;
+    this.clock = clock;
+    this.log = log;
+    counters = core.counters();
+  }
+
+  /** Opens the link, and opens it again whenever it is lost. */
+  public void connect() {
+    if (closed) {
+      return;
+    }
+    Connection.dial(loop, address, DIAL_US, LIMITS, new Connection.Dialled() {
+      @Override public void connected(Connection connection) {
+        adopt(connection);
+      }
+
+      @Override public void failed(Fault fault) {
+        loop.after(RETRY_US, RuntimeLink.this::connect);
+      }
+    });
+  }
+
+  /** Closes the link for good. */
+  public void close() {
+    closed = true;
+    if (link != null) {
+      link.close("the program ends");
+    }
+  }
+
+  private void adopt(Connection connection) {
+    link = connection;
+    ready = false;
+    gaugesOut = false;
+    LineBuffer lines = new LineBuffer(LONGEST);
+    connection.start(new Connection.Owner() {
+      @Override public void received(ByteBuffer bytes) {
+        if (!lines.add(bytes) || lines.tooLong()) {
+          connection.close("the runtime sent a line that is too long");
+          return;
+        }
+        for (String line = lines.line(); line != null; line = lines.line()) {
+          notice(line);
+        }
+      }
+
+      @Override public void closed(Fault fault, boolean atEnd) {
+        log.warn("the link to the runtime ended: " + fault.why());
+        link = null;
+        ready = false;
+        loop.after(RETRY_US, RuntimeLink.this::connect);
+      }
+    });
+    write("{\"type\":\"sync\",\"n\":" + lastNotice + "}");
+  }
+
+  // ---- commands
+
+  @Override public void start(String id, String kind, byte[] body, long untilUs) {
+    send("{\"type\":\"start\",\"job\":\"" + id + "\",\"kind\":\"" + kind + "\",\"data\":\"" + base64(body) + "\"}");
+  }
+
+  @Override public void stop(String id) {
+    send("{\"type\":\"stop\",\"job\":\"" + id + "\"}");
+  }
+
+  @Override public void give(String id, byte[] reply) {
+    send("{\"type\":\"give\",\"job\":\"" + id + "\",\"data\":\"" + base64(reply) + "\"}");
+  }
+
+  @Override public void omit(String id, long notice) {
+    send("{\"type\":\"omit\",\"job\":\"" + id + "\",\"n\":" + notice + "}");
+  }
+
+  @Override public void askGauges() {
+    long now = clock.getAsLong();
+    if (ready && (!gaugesOut || now - gaugesAskedUs > GAUGES_US)) {
+      gaugesOut = true;
+      gaugesAskedUs = now;
+      write("{\"type\":\"gauges\",\"ref\":\"g\"}");
+    }
+  }
+
+  private static String base64(byte[] bytes) {
+    return Base64.getEncoder().encodeToString(bytes);
+  }
+
+  /** Sends a command, or keeps it for the next link: it has not been sent, so sending it then is no repeat. */
+  private void send(String command) {
+    counters.add("runtime.commands");
+    if (ready && link != null && !link.isClosed()) {
+      write(command);
+    } else if (unsent.size() < WAITING) {
+      unsent.add(command);
+    } else {
+      counters.add("runtime.dropped");
+    }
+  }
+
+  private void write(String line) {
+    link.write(ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.ISO_8859_1)));
+  }
+
+  // ---- notices
+
+  private void notice(String line) {
+    Message message = Message.parse(line);
+    if (message == null) {
+      log.warn("the runtime sent what is no message: " + line);
+      return;
+    }
+    long n = message.number("n", 0);
+    if (n > 0) {
+      if (n <= lastNotice) { // told again after a new link: applied already
+        counters.add("runtime.repeated");
+        return;
+      }
+      lastNotice = n;
+    }
+    String job = message.text("job");
+    switch (message.text("type")) {
+      case "ready" -> ready(message);
+      case "end" -> core.ended(job, end(message.text("state")), data(message), message.micros("took"));
+      case "wants" -> core.wants(job, n, data(message));
+      case "load" -> {
+        gaugesOut = false;
+        core.gauges(message.numbers());
+      }
+      case "nack" -> {
+        log.warn("the runtime did not carry out " + message.text("state") + " for " + job);
+        nacked(message.text("state"), job);
+      }
+      default -> { } // a remark with no meaning
+    }
+  }
+
+  private void ready(Message message) {
+    ready = true;
+    log.info("the runtime is up, " + message.text("state") + ", since " + message.micros("took") / 1000 + " ms");
+    core.begin(this, message.text("state").equals("cold"), message.micros("took"));
+    while (!unsent.isEmpty() && link != null && !link.isClosed()) {
+      write(unsent.remove());
+    }
+  }
+
+  private void nacked(String command, String job) {
+    switch (command) {
+      case "start" -> core.nacked(job, true);
+      case "give", "omit" -> core.nacked(job, false);
+      default -> { } // a stop of what is over
+    }
+  }
+
+  private static End end(String state) {
+    return switch (state) {
+      case "ok" -> End.OK;
+      case "halted" -> End.HALTED;
+      case "void" -> End.VOID;
+      default -> End.FAILED;
+    };
+  }
+
+  private static byte[] data(Message message) {
+    return Base64.getDecoder().decode(message.text("data"));
+  }
+}
