--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -1,15 +1,19 @@
 package rosecleat.cli;
 
 import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.nio.file.Path;
 import java.util.Map;
+import rosecleat.config.BrokerConfig;
 import rosecleat.config.ConfigException;
 import rosecleat.config.NodeConfig;
 
@@ -19,13 +23,23 @@
   private static final String UNPACKED = "unpacked";
 
   @Parameters(commandDescription = "run one card node, configured by PROXY_CONFIG")
-  private static final class Serve { }
+  private static final class Serve {
+    @Parameter(names = "--broker", description = "the file that turns on the uwsgi front")
+    private String broker;
+
+    BrokerConfig broker(NodeConfig config) {
+      return broker == null ? null : BrokerConfig.read(Path.of(broker), config.start());
+    }
+  }
 
   @Parameters(commandDescription = "speak the simulator's wire on standard input and output")
   private static final class Benchlink { }
 
   @Parameters(commandDescription = "read the configuration and say whether it can be used")
-  private static final class Check { }
+  private static final class Check {
+    @ParametersDelegate
+    private final Serve as = new Serve();
+  }
 
   @Parameters(commandDescription = "print the version")
   private static final class Version { }
@@ -47,8 +61,10 @@
   }
 
   static int run(String[] args, Map<String, String> env, InputStream in, OutputStream out) {
-    JCommander commands = JCommander.newBuilder().programName("rosecleat").addCommand("serve", new Serve())
-        .addCommand("benchlink", new Benchlink()).addCommand("check", new Check())
+    Serve serve = new Serve();
+    Check check = new Check();
+    JCommander commands = JCommander.newBuilder().programName("rosecleat").addCommand("serve", serve)
+        .addCommand("benchlink", new Benchlink()).addCommand("check", check)
         .addCommand("version", new Version()).addCommand("help", new Help()).build();
     try {
       commands.parse(args);
@@ -58,7 +74,8 @@
       }
       switch (word) {
         case "serve" -> {
-          return Serving.start(NodeConfig.fromEnvironment(env));
+          NodeConfig config = NodeConfig.fromEnvironment(env);
+          return Serving.start(config, serve.broker(config));
         }
         case "benchlink" -> {
           System.setOut(System.err);
@@ -66,7 +83,9 @@
         }
         case "check" -> {
           NodeConfig config = NodeConfig.fromEnvironment(env);
-          print(out, "the configuration of " + config.name() + " can be used");
+          BrokerConfig broker = check.as.broker(config);
+          print(out, "the configuration of " + config.name() + " can be used"
+              + (broker == null ? "" : ", and so can its " + broker.operations().size() + " contracts"));
         }
         case "version" -> print(out, "rosecleat " + version());
         default -> {
--- /dev/null
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -0,0 +1,184 @@
+package rosecleat.cli;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.NodeConfig;
+import rosecleat.config.SettingsReader;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.front.resp.RespFront;
+import rosecleat.front.uwsgi.UwsgiFront;
+import rosecleat.front.uwsgi.UwsgiRunner;
+import rosecleat.index.IndexClient;
+import rosecleat.log.Log;
+import rosecleat.net.Clock;
+import rosecleat.net.EventLoop;
+import rosecleat.policy.Decisions;
+import rosecleat.policy.PolicyApi;
+import rosecleat.roster.RosterClient;
+import rosecleat.runtime.RuntimeLink;
+
+/** The parts of one node put together: the core, its fronts and its links, all on one loop. */
+final class Node implements AutoCloseable {
+  /** Results of keyed requests kept for their repeats, all together (bytes). */
+  private static final long RESULT_BYTES = 8 << 20;
+  /** Descriptors that are not balancers' connections: links, the jar, the libraries, some room. */
+  private static final int OWN_SOCKETS = 64;
+  /** The node is gone so long before it would be killed (us). */
+  private static final long EARLY_US = 150_000;
+  /** What is owed so shortly before the end is failed (us). */
+  private static final long LAST_US = 300_000;
+  /** Without a connection for so long the node has nothing left to do (us). */
+  private static final long QUIET_US = 200_000;
+
+  private final NodeConfig config;
+  private final Log log;
+  private final EventLoop loop;
+  private final LongSupplier clock = new Clock();
+  private final Counters counters = new Counters();
+  private final Core core;
+  private final RuntimeLink runtime;
+  private final RosterClient roster;
+  private final RespFront resp;
+  private final UwsgiFront uwsgi;
+  private long endUs = Long.MAX_VALUE;
+  private long emptySinceUs;
+  private Runnable whenLeft = () -> { };
+
+  /** A node; {@code broker} is null where there is no second front. */
+  Node(NodeConfig config, BrokerConfig broker, Log log) throws IOException {
+    this.config = config;
+    this.log = log;
+    loop = new EventLoop(log);
+    try {
+      SettingsReader.Start start = broker == null ? config.start() : broker.start();
+      PolicyApi.Settings settings = start.settings();
+      List<Core.Klass> classes = classes(start);
+      IndexClient index = new IndexClient(loop, config.index(), clock, counters, log);
+      Core.Rules rules = new Core.Rules(classes, settings.slackUs(), settings.graceUs(), settings.idleUs(),
+          RESULT_BYTES);
+      core = new Core(rules, new Decisions(settings, start.gauges(), config.seed()), index, clock, counters, log);
+      index.tell(core);
+      runtime = new RuntimeLink(loop, config.runtime(), core, clock, log);
+      roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
+      int others = OWN_SOCKETS + (broker == null ? 0 : 2 * broker.connections());
+      int known = config.start().classes().size(); // contracts add theirs behind; balancers can't name those
+      resp = new RespFront(loop, config.listen(), Math.max(1, config.sockets() - others), core,
+          new RespFront.Names(classes.subList(0, known), config.start().tenants(), runtime), clock, log);
+      uwsgi = broker == null ? null : new UwsgiFront(loop, broker, core, runtime,
+          new UwsgiRunner(loop, core, clock, broker.limits().replyBytes()), clock, log, ~config.seed());
+    } catch (IOException | RuntimeException e) {
+      loop.close();
+      throw e;
+    }
+  }
+
+  private static List<Core.Klass> classes(SettingsReader.Start start) {
+    List<Core.Klass> classes = new ArrayList<>();
+    List<PolicyApi.Klass> grades = start.settings().classes();
+    for (int i = 0; i < grades.size(); i++) {
+      PolicyApi.Klass grade = grades.get(i);
+      classes.add(new Core.Klass(start.classes().get(i), grade.effect() == PolicyApi.Effect.KEYED,
+          grade.windowUs(), grade.dueUs()));
+    }
+    return List.copyOf(classes);
+  }
+
+  /** Opens the links and begins to serve. */
+  void start() {
+    loop.execute(() -> {
+      if (config.runtime() == null) {
+        core.begin(null, false, 0);
+      } else {
+        runtime.connect();
+      }
+      if (config.roster() != null) {
+        roster.begin();
+      }
+      beat();
+    });
+    log.info(config.name() + " listens on " + config.listen());
+    if (uwsgi != null) {
+      log.info("uwsgi is on, at port " + uwsgi.port());
+    }
+  }
+
+  /** The port for balancers. */
+  int port() {
+    return resp.port();
+  }
+
+  /** The port of the second front. */
+  int uwsgiPort() {
+    return uwsgi.port();
+  }
+
+  /** Runs something on the node's one thread. */
+  void onLoop(Runnable task) {
+    loop.execute(task);
+  }
+
+  /** The core, for use on the node's thread. */
+  Core core() {
+    return core;
+  }
+
+  /** The second front, for use on the node's thread. */
+  UwsgiFront uwsgi() {
+    return uwsgi;
+  }
+
+  /** The notice to leave: calls back on the loop when nothing is left to do, or when time is up. */
+  void leave(Runnable done) {
+    loop.execute(() -> {
+      endUs = clock.getAsLong() + config.stopUs();
+      whenLeft = done;
+      log.info("told to leave, " + core.inHand() + " in hand");
+      if (config.roster() != null) {
+        roster.leave();
+      }
+      core.drain(config.stopUs() - EARLY_US);
+    });
+  }
+
+  private void beat() {
+    long next = core.tick();
+    boolean draining = endUs != Long.MAX_VALUE;
+    resp.sweep(draining && core.pastGrace());
+    if (draining) {
+      leaving();
+    }
+    loop.after(next - clock.getAsLong(), this::beat);
+  }
+
+  /**
+   * Past the grace nothing that comes is run any more: connections are asked to close and no new ones are
+   * taken. What is still owed just before the end is failed, so that nothing read stays unanswered.
+   */
+  private void leaving() {
+    long now = clock.getAsLong();
+    if (core.pastGrace()) {
+      resp.stopListening();
+      if (uwsgi != null) {
+        uwsgi.stopListening();
+        uwsgi.closeIdle();
+      }
+    }
+    if (now > endUs - LAST_US) {
+      core.failAll("the node is stopped");
+    }
+    boolean empty = core.pastGrace() && core.owed() == 0 && resp.open() == 0 && (uwsgi == null || uwsgi.open() == 0);
+    emptySinceUs = !empty ? 0 : emptySinceUs == 0 ? now : emptySinceUs;
+    if (empty && now - emptySinceUs > QUIET_US || now > endUs - EARLY_US) {
+      whenLeft.run();
+    }
+  }
+
+  /** Ends the node at once. */
+  @Override public void close() {
+    loop.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -0,0 +1,243 @@
+package rosecleat.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rosecleat.policy.PolicyApi;
+import rosecleat.policy.PolicyApi.Effect;
+
+/**
+ * The second front's file: where uwsgi listens, what is described, and each service's contract and budget.
+ *
+ * @param start the node's settings, with the classes and tenants that contracts and budgets add at the end
+ */
+public record BrokerConfig(InetSocketAddress listen, int connections, Limits limits, Vars vars,
+    List<Operation> operations, SettingsReader.Start start) {
+
+  /** Bounds of the uwsgi connections, in bytes and microseconds. */
+  public record Limits(int packetBytes, int bodyBytes, int replyBytes, long repliesBytes, long readUs,
+      long stallUs) { }
+
+  /** The names of the vars that callers use beside the protocol's own. */
+  public record Vars(String team, String deadlineMs, String key, String retry) { }
+
+  /**
+   * One operation under its contract.
+   *
+   * @param kind the class by name, as its runner knows it
+   * @param klass the position of its class in the settings
+   * @param keyed whether its tries carry an idempotency key
+   * @param backend where it runs over uwsgi; null for the machine's runtime
+   * @param tenants the tenants of the teams that have a budget, by team
+   */
+  public record Operation(String id, String method, String path, String contentType, String kind, int klass,
+      boolean keyed, long deadlineUs, double kb, double rank, InetSocketAddress backend, Map<String, Integer> tenants) { }
+
+  private static final String RUNTIME = "runtime";
+  private static final String UWSGI = "uwsgi://";
+
+  /** Reads a broker's file over a node's settings. */
+  public static BrokerConfig read(Path file, SettingsReader.Start start) {
+    JsonNode root;
+    try {
+      root = new ObjectMapper(new YAMLFactory()).readTree(Files.readString(file));
+    } catch (IOException | RuntimeException e) {
+      throw new ConfigException("cannot read the broker's file " + file);
+    }
+    if (root == null || !root.isObject()) {
+      throw new ConfigException("the broker's file " + file + " has no sections");
+    }
+    return new Reading(file.toAbsolutePath().getParent(), root, start).broker();
+  }
+
+  /** One reading of a file. */
+  private static final class Reading {
+    private final Path folder;
+    private final JsonNode root;
+    private final SettingsReader.Start start;
+    private final List<PolicyApi.Klass> classes;
+    private final List<String> classNames;
+    private final List<PolicyApi.Tenant> tenants;
+    private final List<String> tenantNames;
+    private final Map<String, Descriptions.Described> described = new HashMap<>();
+
+    Reading(Path folder, JsonNode root, SettingsReader.Start start) {
+      this.folder = folder;
+      this.root = root;
+      this.start = start;
+      classes = new ArrayList<>(start.settings().classes());
+      classNames = new ArrayList<>(start.classes());
+      tenants = new ArrayList<>(start.settings().tenants());
+      tenantNames = new ArrayList<>(start.tenants());
+    }
+
+    BrokerConfig broker() {
+      JsonNode uwsgi = root.path("uwsgi");
+      InetSocketAddress listen = NodeConfig.address(uwsgi.path("listen").asText(""), "uwsgi.listen");
+      if (listen == null) {
+        throw new ConfigException("the broker's file lacks uwsgi.listen");
+      }
+      describe();
+      List<Operation> operations = new ArrayList<>();
+      root.path("services").fields().forEachRemaining(service ->
+          service.getValue().path("contract").fields().forEachRemaining(contract ->
+              operations.add(operation(service.getKey(), service.getValue(), contract.getKey(),
+                  contract.getValue()))));
+      if (operations.isEmpty()) {
+        throw new ConfigException("the broker's file has no contract");
+      }
+      JsonNode l = uwsgi.path("limits");
+      Limits limits = new Limits(whole(l, "packet_bytes", 16 << 10), whole(l, "body_bytes", 64 << 10),
+          whole(l, "reply_bytes", 1 << 20), whole(l, "replies_bytes", 8 << 20), 1000L * whole(l, "read_ms", 5_000),
+          1000L * whole(l, "stall_ms", 5_000));
+      JsonNode v = uwsgi.path("vars");
+      Vars vars = new Vars(v.path("team").asText("HTTP_X_TEAM"), v.path("deadline_ms").asText("HTTP_X_DEADLINE_MS"),
+          v.path("key").asText("HTTP_IDEMPOTENCY_KEY"), v.path("retry").asText("HTTP_X_RETRY"));
+      return new BrokerConfig(listen, whole(uwsgi, "connections", 128), limits, vars, List.copyOf(operations),
+          new SettingsReader.Start(start.settings().with(List.copyOf(classes), List.copyOf(tenants)),
+              start.gauges(), List.copyOf(classNames), List.copyOf(tenantNames)));
+    }
+
+    private void describe() {
+      for (JsonNode entry : root.path("descriptions")) {
+        List<Descriptions.Described> found;
+        if (entry.has("openapi")) {
+          found = Descriptions.openApi(folder.resolve(entry.path("openapi").asText()));
+        } else if (entry.has("asyncapi")) {
+          found = Descriptions.asyncApi(folder.resolve(entry.path("asyncapi").asText()));
+        } else {
+          throw new ConfigException("a description is neither openapi nor asyncapi");
+        }
+        for (Descriptions.Described one : found) {
+          if (described.put(one.id(), one) != null) {
+            throw new ConfigException("operation " + one.id() + " is described twice");
+          }
+        }
+      }
+    }
+
+    private Operation operation(String service, JsonNode terms, String id, JsonNode contract) {
+      Descriptions.Described one = described.get(id);
+      if (one == null) {
+        throw new ConfigException("operation " + id + " of " + service + " is not described");
+      }
+      InetSocketAddress backend = backend(service, terms.path("backend").asText(RUNTIME));
+      String kind = contract.path("class").asText("");
+      if (kind.isEmpty()) {
+        throw new ConfigException("operation " + id + " lacks a class");
+      }
+      int klass = klass(id, kind, contract, backend);
+      double kb = contract.path("kb").asDouble(32);
+      double rank = contract.path("rank").asDouble(0.5);
+      if (!(kb > 0 && kb < 2_000 && rank >= 0 && rank < 1)) {
+        throw new ConfigException("operation " + id + " has kb or rank out of range");
+      }
+      Map<String, Integer> teams = new HashMap<>();
+      terms.path("budget").fields().forEachRemaining(team ->
+          teams.put(team.getKey(), tenant(team.getKey(), team.getValue())));
+      if (teams.isEmpty()) {
+        throw new ConfigException("service " + service + " has no budget");
+      }
+      return new Operation(id, one.method(), one.path(), one.contentType(), kind, klass,
+          classes.get(klass).effect() == Effect.KEYED, classes.get(klass).dueUs(), kb, rank, backend, Map.copyOf(teams));
+    }
+
+    private static InetSocketAddress backend(String service, String text) {
+      if (text.equals(RUNTIME)) {
+        return null;
+      }
+      if (!text.startsWith(UWSGI)) {
+        throw new ConfigException("backend of " + service + " is neither runtime nor uwsgi://host:port");
+      }
+      return NodeConfig.address(text.substring(UWSGI.length()), "backend of " + service);
+    }
+
+    /** The class of a contract: the node's own, one with other times, or a new one where a backend serves it. */
+    private int klass(String id, String kind, JsonNode c, InetSocketAddress backend) {
+      int known = classNames.indexOf(kind);
+      if (known < 0 && backend == null) {
+        throw new ConfigException("operation " + id + " has a class the runtime does not know: " + kind);
+      }
+      PolicyApi.Klass base = known < 0 ? null : classes.get(known);
+      Effect effect = effect(id, c.path("effect").asText(""), base);
+      long aim = span(id, c, "aim_ms", base == null ? 0 : base.aimUs());
+      long due = span(id, c, "deadline_ms", base == null ? 0 : base.dueUs());
+      long window = effect == Effect.KEYED ? span(id, c, "window_ms", base == null ? 0 : base.windowUs()) : 0;
+      if (aim > due) {
+        throw new ConfigException("operation " + id + " has an aim behind its deadline");
+      }
+      PolicyApi.Klass klass = base == null
+          ? new PolicyApi.Klass(c.path("worth").asDouble(1), 0, aim, 0, due, effect, window, false, 0)
+          : new PolicyApi.Klass(base.worth(), base.lateWorth(), aim, base.aimStretch(), due, effect,
+              base.effect() == Effect.KEYED ? Math.max(window, base.windowUs()) : base.windowUs(), base.calls(),
+              base.worthWithoutCall());
+      for (int i = 0; i < classes.size(); i++) {
+        if (classNames.get(i).equals(kind) && classes.get(i).equals(klass)) {
+          return i;
+        }
+      }
+      classes.add(klass);
+      classNames.add(kind);
+      return classes.size() - 1;
+    }
+
+    private static Effect effect(String id, String word, PolicyApi.Klass base) {
+      Effect effect = switch (word) {
+        case "pure" -> Effect.SAFE;
+        case "token" -> Effect.KEYED;
+        case "side_effect" -> Effect.UNSAFE;
+        case "" -> base == null ? null : base.effect();
+        default -> null;
+      };
+      if (effect == null) {
+        throw new ConfigException("operation " + id + " has no known effect (pure, token or side_effect)");
+      }
+      if (base != null && base.effect() != effect) {
+        throw new ConfigException("operation " + id + " has another effect than its class");
+      }
+      return effect;
+    }
+
+    private static long span(String id, JsonNode contract, String name, long otherwise) {
+      long us = contract.has(name) ? contract.path(name).asLong() * 1000 : otherwise;
+      if (us <= 0) {
+        throw new ConfigException("operation " + id + " lacks " + name);
+      }
+      return us;
+    }
+
+    private int tenant(String team, JsonNode budget) {
+      String name = budget.path("tenant").asText(team);
+      int known = tenantNames.indexOf(name);
+      double quota = budget.path("quota_per_s").asDouble(known < 0 ? 0 : tenants.get(known).quotaPerS());
+      if (quota <= 0) {
+        throw new ConfigException("the budget of " + team + " lacks quota_per_s");
+      }
+      if (known >= 0) {
+        if (Math.abs(tenants.get(known).quotaPerS() - quota) > 1e-6) {
+          throw new ConfigException("the budget of " + team + " is not the quota of tenant " + name);
+        }
+        return known;
+      }
+      tenants.add(new PolicyApi.Tenant(quota));
+      tenantNames.add(name);
+      return tenants.size() - 1;
+    }
+
+    private static int whole(JsonNode node, String name, int otherwise) {
+      long value = node.path(name).asLong(otherwise);
+      if (value <= 0 || value > Integer.MAX_VALUE) {
+        throw new ConfigException(name + " in the broker's file is out of range");
+      }
+      return (int) value;
+    }
+  }
+}
--- a/src/main/java/rosecleat/core/Ask.java
+++ b/src/main/java/rosecleat/core/Ask.java
@@ -1,5 +1,7 @@
 package rosecleat.core;
 
+import java.util.Map;
+
 /**
  * A request as any front hands it over.
  *
@@ -16,8 +18,10 @@
  * @param once what all tries of one request share, null outside keyed classes
  * @param key what a read is about, 0 for nothing
  * @param body what the runner is given, unchanged
+ * @param attributes what else its front knows and its runner may pass on, by name
  * @param runner what does its work
  * @param front where its one answer goes
  */
 public record Ask(String id, long atUs, long waitUs, int klass, String kind, int tenant, long caller,
-    boolean retry, double kb, double rank, String once, long key, byte[] body, Runner runner, Front front) { }
+    boolean retry, double kb, double rank, String once, long key, byte[] body, Map<String, String> attributes,
+    Runner runner, Front front) { }
--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -180,11 +180,9 @@
         settle(life, RunOutcome.OK, tookUs);
         resolve(keyed, life, result, tookUs);
       }
-      case FAILED -> {
-        answer(life, failed(Progress.RAN, "its run failed", Answer.Cause.BACKEND));
-        settle(life, RunOutcome.FAILED, tookUs);
-        resolve(keyed, life, null, tookUs);
-      }
+      case FAILED -> broken(life, Progress.RAN, "its run failed", tookUs);
+      case CUT -> broken(life, Progress.MAY_HAVE_RUN, "its run was cut off", tookUs);
+      case UNREACHED -> unreached(life, tookUs);
       case HALTED -> halted(life, tookUs);
       case VOID -> {
         answer(life, failed(Progress.SENT, "its runner holds it for over", Answer.Cause.TIME));
@@ -194,6 +192,22 @@
     }
   }
 
+  private void broken(Life life, Progress progress, String why, long tookUs) {
+    boolean keyed = keyed(life);
+    answer(life, failed(progress, why, Answer.Cause.BACKEND));
+    settle(life, RunOutcome.FAILED, tookUs);
+    resolve(keyed, life, null, tookUs);
+  }
+
+  /** It is proven that nothing ran: a keyed request may come again and run then. */
+  private void unreached(Life life, long tookUs) {
+    List<Life> waited = keyed(life) ? keys.neverRan(life) : List.of();
+    life.ran = false;
+    answer(life, failed(Progress.NOT_SENT, "its runner was not reached", Answer.Cause.BACKEND));
+    settle(life, RunOutcome.FAILED, tookUs);
+    waited.forEach(repeat -> reused(repeat, null));
+  }
+
   private void halted(Life life, long tookUs) {
     boolean keyed = keyed(life);
     life.stopping = false;
@@ -216,14 +230,13 @@
     if (!keyed) {
       return;
     }
-    for (Life repeat : keys.ended(life, result)) {
-      if (repeat.state == Life.State.ATTACHED) {
-        reused(repeat, result);
-      }
-    }
+    keys.ended(life, result).forEach(repeat -> reused(repeat, result));
   }
 
   private void reused(Life repeat, byte[] result) {
+    if (repeat.state != Life.State.ATTACHED) {
+      return; // it was given up on while it waited
+    }
     counters.add(result != null ? "reused" : "reused.nothing");
     answer(repeat, result != null ? new Answer.Served(result)
         : failed(Progress.MAY_HAVE_RUN, "another try ran and has no result", Answer.Cause.BACKEND));
@@ -286,7 +299,7 @@
       return;
     }
     if (start) {
-      ended(id, Runner.End.FAILED, null, 0);
+      ended(id, Runner.End.UNREACHED, null, 0);
     } else if (life.state == Life.State.RUNNING) {
       stop(life); // it waits for what will not come
     }
@@ -405,7 +418,7 @@
     life.ran = true;
     life.startedUs = clock.getAsLong();
     counters.add("starts");
-    life.ask.runner().start(life.ask.id(), life.ask.kind(), life.ask.body(), life.dueUs);
+    life.ask.runner().start(life.ask, life.dueUs);
   }
 
   private long keyUntil(Life life) {
--- a/src/main/java/rosecleat/core/KeyTable.java
+++ b/src/main/java/rosecleat/core/KeyTable.java
@@ -40,7 +40,7 @@
     }
   }
 
-  private record Key(int klass, int tenant, String once) { }
+  private record Key(String kind, int tenant, String once) { }
 
   private final long lateUs;
   private final long resultBytes;
@@ -55,7 +55,7 @@
   }
 
   private static Key key(Ask ask) {
-    return new Key(ask.klass(), ask.tenant(), ask.once());
+    return new Key(ask.kind(), ask.tenant(), ask.once());
   }
 
   /** The entry that was in force when the request came to the machine, or null. */
@@ -125,6 +125,16 @@
     return waited;
   }
 
+  /** The run of a try is proven never to have begun: forgets it, and returns those that waited for it. */
+  List<Life> neverRan(Life life) {
+    Entry entry = entries.get(key(life.ask));
+    if (entry == null || entry.owner != life) {
+      return List.of();
+    }
+    entries.remove(entry.key);
+    return entry.waiting;
+  }
+
   /** Lets a repeat wait for the end of the run. */
   void wait(Entry entry, Life life) {
     entry.waiting.add(life);
--- a/src/main/java/rosecleat/core/Runner.java
+++ b/src/main/java/rosecleat/core/Runner.java
@@ -3,10 +3,23 @@
 /** What does the work of requests. Its orders return at once; what becomes of them is told to {@link Core}. */
 public interface Runner {
   /** How a run ended. */
-  enum End { OK, FAILED, HALTED, VOID }
+  enum End {
+    /** It worked. */
+    OK,
+    /** It ran and failed. */
+    FAILED,
+    /** It may have run; nothing tells what became of it. */
+    CUT,
+    /** It was stopped. */
+    HALTED,
+    /** Nothing was started, as the request is over. */
+    VOID,
+    /** What should run it was not reached: it never ran. */
+    UNREACHED
+  }
 
-  /** Begins a run. */
-  void start(String id, String kind, byte[] body, long untilUs);
+  /** Begins the run of a request whose answer is due at a time by the Unix clock in microseconds. */
+  void start(Ask ask, long dueUs);
 
   /** Stops a run; its end is told all the same. */
   void stop(String id);
--- a/src/main/java/rosecleat/front/resp/Fields.java
+++ b/src/main/java/rosecleat/front/resp/Fields.java
@@ -85,7 +85,7 @@
     boolean retry = option(fields, "retry", "[01]") != null && fields.get("retry").equals("1");
     return new Ask(id, at * 1000, waitMs * 1000, klass, grade.name(), tenant, from, retry, kb,
         rankText == null ? 0 : Double.parseDouble(rankText), once,
-        key == null ? 0 : Long.parseUnsignedLong(key, 16), body, runner, front);
+        key == null ? 0 : Long.parseUnsignedLong(key, 16), body, Map.of(), runner, front);
   }
 
   private static Map<String, String> split(String text) {
--- /dev/null
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -0,0 +1,217 @@
+package rosecleat.front.uwsgi;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.function.LongSupplier;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.BrokerConfig.Operation;
+import rosecleat.core.Answer;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.core.Fault;
+import rosecleat.core.Progress;
+import rosecleat.core.Runner;
+import rosecleat.log.Log;
+import rosecleat.net.Connection;
+import rosecleat.net.EventLoop;
+import rosecleat.net.Listener;
+
+/** The second front: uwsgi callers, one request a connection, answered as HTTP. */
+public final class UwsgiFront {
+  private static final String PLAIN = "text/plain; charset=utf-8";
+  /** An answer that comes so shortly before it is due was given up on for lack of time (us). */
+  private static final long NEARLY_DUE_US = 50_000;
+  private static final int HEAD_ROOM = 4 << 10;
+
+  private final EventLoop loop;
+  private final BrokerConfig config;
+  private final Core core;
+  private final Counters counters;
+  private final LongSupplier clock;
+  private final Log log;
+  private final Requests requests;
+  private final Listener listener;
+  private final Set<Caller> callers = new LinkedHashSet<>();
+  private long replying;
+
+  /** Listens where the broker's file says; requests run on the runtime or on uwsgi backends. */
+  public UwsgiFront(EventLoop loop, BrokerConfig config, Core core, Runner runtime, Runner backends,
+      LongSupplier clock, Log log, long seed) throws IOException {
+    this.loop = loop;
+    this.config = config;
+    this.core = core;
+    this.clock = clock;
+    this.log = log;
+    counters = core.counters();
+    requests = new Requests(config, runtime, backends, seed);
+    BrokerConfig.Limits limits = config.limits();
+    listener = new Listener(loop, config.listen(), config.connections(), new Connection.Limits(8 << 10, 64 << 10,
+        limits.replyBytes() + HEAD_ROOM, limits.stallUs()), this::adopt);
+  }
+
+  /** The port it listens on. */
+  public int port() {
+    return listener.port();
+  }
+
+  /** Connections that are open. */
+  public int open() {
+    return callers.size();
+  }
+
+  /** Bytes of replies that callers have not taken yet. */
+  public long replying() {
+    return replying;
+  }
+
+  /** Accepts no further connection. */
+  public void stopListening() {
+    listener.close();
+  }
+
+  /** Closes the connections on which nothing of a request has come. */
+  public void closeIdle() {
+    for (Caller caller : new ArrayList<>(callers)) {
+      if (!caller.parser.begun()) {
+        caller.connection.close("the node leaves");
+      }
+    }
+  }
+
+  private void adopt(Connection connection) {
+    counters.add("uwsgi.connections");
+    Caller caller = new Caller(connection);
+    callers.add(caller);
+    caller.patience = loop.after(config.limits().readUs(), caller::slow);
+    connection.start(caller);
+  }
+
+  /** One caller with its one request. */
+  private final class Caller implements Connection.Owner {
+    private final Connection connection;
+    private final UwsgiParser parser = new UwsgiParser(config.limits().packetBytes(), config.limits().bodyBytes());
+    private Future<?> patience;
+    private Core.Handle handle;
+    private Operation operation;
+    private long dueUs;
+    private boolean taken;
+    private boolean answered;
+    private int booked;
+
+    Caller(Connection connection) {
+      this.connection = connection;
+    }
+
+    /** Guards against callers that never finish their request. */
+    private void slow() {
+      if (!taken) {
+        counters.add("uwsgi.slow");
+        connection.close("the request did not come in time");
+      }
+    }
+
+    @Override public void received(ByteBuffer bytes) {
+      if (taken || !parser.take(bytes)) {
+        return; // what comes behind a request is no part of it
+      }
+      taken = true;
+      patience.cancel(false);
+      if (parser.status() != 0) {
+        reply(HttpReply.words(parser.status(), Map.of(), parser.why()), PLAIN);
+        return;
+      }
+      UwsgiPacket packet = parser.packet();
+      if (packet.modifier1() == UwsgiPacket.PING) {
+        connection.write(ByteBuffer.wrap(new byte[] {UwsgiPacket.PING, 0, 0, 1}));
+        connection.closeWhenWritten();
+        return;
+      }
+      request(packet);
+    }
+
+    private void request(UwsgiPacket packet) {
+      counters.add("uwsgi.requests");
+      Requests.Outcome read = requests.read(packet, clock.getAsLong(), this::answer);
+      if (read.wrong() != null) {
+        reply(read.wrong(), PLAIN);
+        return;
+      }
+      operation = read.operation();
+      dueUs = read.ask().atUs() + read.ask().waitUs();
+      Core.Handle submitted = core.submit(read.ask());
+      if (!answered) {
+        handle = submitted;
+      }
+    }
+
+    @Override public void closed(Fault fault, boolean atEnd) {
+      callers.remove(this);
+      patience.cancel(false);
+      replying -= booked;
+      listener.released();
+      if (fault.progress() != Progress.SENT || fault.why().contains("takes nothing")) {
+        counters.add("uwsgi.cut");
+      }
+      if (handle != null) {
+        handle.gone(); // the caller closed before its answer
+      }
+    }
+
+    private void answer(Answer answer) {
+      answered = true;
+      handle = null;
+      if (answer instanceof Answer.Served served) {
+        serve(served.result());
+      } else if (answer instanceof Answer.Refused refused) {
+        if (clock.getAsLong() >= dueUs - NEARLY_DUE_US) {
+          reply(HttpReply.words(504, progress(Progress.NOT_SENT), "not begun in time"), PLAIN);
+          return;
+        }
+        long seconds = Math.max(1, (refused.holdOffUs() + 999_999) / 1_000_000);
+        reply(HttpReply.words(503, Map.of("Retry-After", Long.toString(seconds), "X-Progress",
+            word(Progress.NOT_SENT)), "turned away"), PLAIN);
+      } else if (answer instanceof Answer.Failed failed) {
+        int status = switch (failed.cause()) {
+          case CALLER -> 400;
+          case TIME -> 504;
+          case BACKEND -> 502;
+        };
+        reply(HttpReply.words(status, progress(failed.fault().progress()), failed.fault().why()), PLAIN);
+      }
+    }
+
+    /** Guards the memory that all callers' replies take together. */
+    private void serve(byte[] result) {
+      if (result.length > config.limits().replyBytes() || replying + result.length > config.limits().repliesBytes()) {
+        counters.add("uwsgi.noroom");
+        log.warn("no room for a reply of " + result.length + " bytes, " + replying + " wait");
+        reply(HttpReply.words(502, progress(Progress.RAN), "no room for the reply"), PLAIN);
+        return;
+      }
+      booked = result.length;
+      replying += booked;
+      reply(new HttpReply(200, Map.of(), result), operation.contentType());
+    }
+
+    private void reply(HttpReply reply, String contentType) {
+      counters.add("uwsgi.status." + reply.status());
+      if (connection.write(reply.head(contentType)) && reply.body().length > 0) {
+        connection.write(ByteBuffer.wrap(reply.body()));
+      }
+      connection.closeWhenWritten();
+    }
+
+    private static Map<String, String> progress(Progress progress) {
+      return Map.of("X-Progress", word(progress));
+    }
+
+    private static String word(Progress progress) {
+      return progress.neverRan() ? "never-ran" : progress == Progress.RAN ? "ran" : "may-have-run";
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -0,0 +1,154 @@
+package rosecleat.front.uwsgi;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.function.LongSupplier;
+import rosecleat.core.Ask;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.core.Fault;
+import rosecleat.core.Runner;
+import rosecleat.net.Connection;
+import rosecleat.net.EventLoop;
+
+/** The uwsgi client: runs requests on uwsgi backends, a connection each. How a run ended is what is proven. */
+public final class UwsgiRunner implements Runner {
+  /** The attribute that names a request's backend. */
+  static final String BACKEND = "rosecleat.backend";
+
+  private static final long DIAL_US = 1_000_000;
+  /** A run is given up so long after its answer was due (us). */
+  private static final long LATE_US = 1_000_000;
+
+  private final EventLoop loop;
+  private final Core core;
+  private final LongSupplier clock;
+  private final Counters counters;
+  private final int replyBytes;
+  private final Map<String, Run> runs = new HashMap<>();
+
+  /** A client whose backends' replies may be so long. */
+  public UwsgiRunner(EventLoop loop, Core core, LongSupplier clock, int replyBytes) {
+    this.loop = loop;
+    this.core = core;
+    this.clock = clock;
+    this.replyBytes = replyBytes;
+    counters = core.counters();
+  }
+
+  @Override public void start(Ask ask, long dueUs) {
+    Run run = new Run(ask);
+    runs.put(ask.id(), run);
+    run.timer = loop.after(dueUs + LATE_US - run.startedUs, run::late);
+    Connection.Limits limits = new Connection.Limits(8 << 10, 64 << 10, 1 << 20, 5_000_000);
+    String backend = ask.attributes().get(BACKEND);
+    int colon = backend.lastIndexOf(':');
+    Connection.dial(loop, new InetSocketAddress(backend.substring(0, colon),
+        Integer.parseInt(backend.substring(colon + 1))), DIAL_US, limits, run);
+  }
+
+  @Override public void stop(String id) {
+    Run run = runs.get(id);
+    if (run != null) {
+      loop.execute(() -> run.end(End.HALTED, null)); // told like any other end, not inside the order
+    }
+  }
+
+  @Override public void give(String id, byte[] reply) { }
+
+  @Override public void omit(String id, long notice) { }
+
+  /** Runs that are out. */
+  public int out() {
+    return runs.size();
+  }
+
+  /** One run on one connection. */
+  private final class Run implements Connection.Dialled, Connection.Owner {
+    private final Ask ask;
+    private final long startedUs = clock.getAsLong();
+    private final HttpParser parser = new HttpParser(replyBytes);
+    private Connection connection;
+    private Future<?> timer;
+    private boolean over;
+
+    Run(Ask ask) {
+      this.ask = ask;
+    }
+
+    @Override public void connected(Connection fresh) {
+      if (over) {
+        fresh.close("stopped before it was sent");
+        return;
+      }
+      connection = fresh;
+      ByteBuffer packet = new UwsgiPacket(UwsgiPacket.REQUEST, 0, vars(), ask.body()).encode();
+      if (packet == null) {
+        end(End.UNREACHED, null);
+        return;
+      }
+      fresh.start(this);
+      fresh.write(packet);
+      counters.add("backend.sent");
+    }
+
+    private Map<String, String> vars() {
+      Map<String, String> vars = new HashMap<>(ask.attributes());
+      vars.remove(BACKEND);
+      vars.put("CONTENT_LENGTH", Integer.toString(ask.body().length));
+      vars.put("HTTP_X_REQUEST_ID", ask.id());
+      vars.put("HTTP_X_DEADLINE_MS",
+          Long.toString(Math.max(1, (ask.atUs() + ask.waitUs() - clock.getAsLong()) / 1000)));
+      return vars;
+    }
+
+    /** Nothing was reached, so nothing ran. */
+    @Override public void failed(Fault fault) {
+      counters.add("backend.unreached");
+      end(End.UNREACHED, null);
+    }
+
+    @Override public void received(ByteBuffer bytes) {
+      if (!parser.take(bytes)) {
+        end(End.FAILED, null);
+      } else if (parser.whole(false)) {
+        finished();
+      }
+    }
+
+    /** A connection that breaks after the request was sent proves nothing of the run. */
+    @Override public void closed(Fault fault, boolean atEnd) {
+      if (atEnd && parser.whole(true)) {
+        finished();
+      } else {
+        end(End.CUT, null);
+      }
+    }
+
+    private void finished() {
+      boolean good = parser.status() >= 200 && parser.status() < 300;
+      end(good ? End.OK : End.FAILED, good ? parser.body() : null);
+    }
+
+    private void late() {
+      end(connection == null ? End.UNREACHED : End.CUT, null);
+    }
+
+    private void end(End how, byte[] result) {
+      if (over) {
+        return;
+      }
+      over = true;
+      timer.cancel(false);
+      runs.remove(ask.id());
+      if (connection != null) {
+        connection.close("its run is over");
+      }
+      counters.add("backend." + how.name().toLowerCase(java.util.Locale.ROOT));
+      core.ended(ask.id(), how, result, clock.getAsLong() - startedUs);
+    }
+  }
+}
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -31,12 +31,17 @@
     default void drained() { }
   }
 
-  /** The bounds of a connection: bytes. and microseconds. */
+  /** The bounds of a connection, in bytes and microseconds. */
   public record Limits(int readBytes, int pauseAbove, int queueBytes, long stallUs) {
     /** Bounds for small messages. */
     public static final Limits SMALL = new Limits(8 << 10, 64 << 10, 1 << 20, 5_000_000);
   }
 
+  /** Bytes handed to the system at once: it copies each piece into a buffer outside the heap. */
+  private static final int PIECE = 16 << 10;
+  /** How long a connection closed here waits for its peer to close, so that no answer is cut off (us). */
+  private static final long LINGER_US = 1_000_000;
+
   private final EventLoop loop;
   private final AsynchronousSocketChannel channel;
   private final Limits limits;
@@ -164,12 +169,28 @@
     return true;
   }
 
-  /** Closes once all that is queued has been written. */
+  /**
+   * Closes once all that is queued has been written and the peer has closed in its turn, or a little later.
+   * What still comes in is thrown away: closing with bytes unread would reset the connection, and the peer
+   * could lose the answer.
+   */
   public void closeWhenWritten() {
     closing = true;
+    paused = false;
     if (queue.isEmpty()) {
+      shutOutput();
+    }
+    read();
+  }
+
+  private void shutOutput() {
+    try {
+      channel.shutdownOutput();
+    } catch (IOException | RuntimeException e) {
       end(new Fault(Progress.SENT, "closed here"), false);
+      return;
     }
+    loop.after(LINGER_US, () -> end(new Fault(Progress.SENT, "closed here"), false));
   }
 
   /** Closes at once. */
@@ -222,8 +243,10 @@
       long before = written;
       stall = loop.after(limits.stallUs(), () -> stalled(before));
     }
+    ByteBuffer piece = next.duplicate();
+    piece.limit(Math.min(next.limit(), next.position() + PIECE));
     try {
-      channel.write(next, null, handler(loop, this::wrote,
+      channel.write(piece, null, handler(loop, this::wrote,
           e -> end(new Fault(Progress.MAY_HAVE_RUN, "write failed: " + e.getMessage()), false)));
     } catch (RuntimeException e) {
       end(new Fault(Progress.MAY_HAVE_RUN, "write failed: " + e), false);
@@ -251,7 +274,9 @@
     }
     queued -= count;
     written += count;
-    if (!queue.isEmpty() && !queue.peek().hasRemaining()) {
+    ByteBuffer first = queue.element();
+    first.position(first.position() + count);
+    if (!first.hasRemaining()) {
       queue.remove();
     }
     if (queue.isEmpty()) {
@@ -260,7 +285,7 @@
         stall = null;
       }
       if (closing) {
-        end(new Fault(Progress.SENT, "closed here"), false);
+        shutOutput();
         return;
       }
       owner.drained();
--- a/src/main/java/rosecleat/policy/Decisions.java
+++ b/src/main/java/rosecleat/policy/Decisions.java
@@ -111,7 +111,7 @@
   /** Starts the module as of a moment that may have passed: when the cores it rules came up, cold or warm. */
   public void begin(long sinceUs, boolean cold) {
     now = sinceUs;
-    policy = new Policy(withCold(settings, cold), seed, new Collector());
+    policy = new Policy(settings.withCold(cold), seed, new Collector());
     policy.begin(sinceUs);
   }
 
@@ -187,14 +187,6 @@
     };
   }
 
-  private static Settings withCold(Settings s, boolean cold) {
-    return new Settings(s.cores(), s.servers(), s.callers(), cold, s.coldShare(), s.warmUs(), s.memoryKb(),
-        s.runFactor(), s.keyKb(), s.fallMultiple(), s.fallSpanUs(), s.graceUs(), s.slackUs(), s.passesDeadline(),
-        s.tellsGone(), s.marksRetry(), s.worthByWork(), s.overShareWorth(), s.halt(), s.say(), s.heededUs(),
-        s.maxHoldOffUs(), s.readiness(), s.deepChecks(), s.idleUs(), s.shareReadsUs(), s.below(), s.callsOut(),
-        s.callsSpanUs(), s.callLingerUs(), s.roundUs(), s.classes(), s.tenants());
-  }
-
   /** Turns the module's actions into orders. */
   private final class Collector implements PolicyApi.Actions {
     @Override public void run(long id) {
--- a/src/main/java/rosecleat/policy/PolicyApi.java
+++ b/src/main/java/rosecleat/policy/PolicyApi.java
@@ -125,7 +125,24 @@
       long slackUs, boolean passesDeadline, boolean tellsGone, boolean marksRetry, boolean worthByWork,
       double overShareWorth, Halt halt, Say say, long heededUs, long maxHoldOffUs, boolean readiness,
       boolean deepChecks, long idleUs, long shareReadsUs, Below below, double callsOut, long callsSpanUs,
-      long callLingerUs, long roundUs, List<Klass> classes, List<Tenant> tenants) { }
+      long callLingerUs, long roundUs, List<Klass> classes, List<Tenant> tenants) {
+    /** The same for a server that starts cold, or warm. */
+    public Settings withCold(boolean starting) {
+      return with(starting, classes, tenants);
+    }
+
+    /** The same with these classes and tenants. */
+    public Settings with(List<Klass> allClasses, List<Tenant> allTenants) {
+      return with(cold, allClasses, allTenants);
+    }
+
+    private Settings with(boolean starting, List<Klass> allClasses, List<Tenant> allTenants) {
+      return new Settings(cores, servers, callers, starting, coldShare, warmUs, memoryKb, runFactor, keyKb,
+          fallMultiple, fallSpanUs, graceUs, slackUs, passesDeadline, tellsGone, marksRetry, worthByWork,
+          overShareWorth, halt, say, heededUs, maxHoldOffUs, readiness, deepChecks, idleUs, shareReadsUs, below,
+          callsOut, callsSpanUs, callLingerUs, roundUs, allClasses, allTenants);
+    }
+  }
 
   /**
    * A request as it was read. {@code leftUs}, {@code hintUs}, {@code key} and {@code original} are 0 where absent;
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Base64;
 import java.util.function.LongSupplier;
+import rosecleat.core.Ask;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Fault;
@@ -103,8 +104,9 @@
 
   // ---- commands
 
-  @Override public void start(String id, String kind, byte[] body, long untilUs) {
-    send("{\"type\":\"start\",\"job\":\"" + id + "\",\"kind\":\"" + kind + "\",\"data\":\"" + base64(body) + "\"}");
+  @Override public void start(Ask ask, long dueUs) {
+    send("{\"type\":\"start\",\"job\":\"" + ask.id() + "\",\"kind\":\"" + ask.kind() + "\",\"data\":\""
+        + base64(ask.body()) + "\"}");
   }
 
   @Override public void stop(String id) {
