Test the uwsgi front over loopback and a balancer's connection against a model

Seen on the way: a refused backend connect was counted twice, once as unreached and once by its end.

--- a/src/main/java/rosecleat/config/BrokerConfig.java
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -87,8 +87,8 @@
       }
       describe();
       List<Operation> operations = new ArrayList<>();
-      root.path("services").fields().forEachRemaining(service ->
-          service.getValue().path("contract").fields().forEachRemaining(contract ->
+      root.path("services").properties().forEach(service ->
+          service.getValue().path("contract").properties().forEach(contract ->
               operations.add(operation(service.getKey(), service.getValue(), contract.getKey(),
                   contract.getValue()))));
       if (operations.isEmpty()) {
@@ -141,7 +141,7 @@
         throw new ConfigException("operation " + id + " has kb or rank out of range");
       }
       Map<String, Integer> teams = new HashMap<>();
-      terms.path("budget").fields().forEachRemaining(team ->
+      terms.path("budget").properties().forEach(team ->
           teams.put(team.getKey(), tenant(team.getKey(), team.getValue())));
       if (teams.isEmpty()) {
         throw new ConfigException("service " + service + " has no budget");
--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -62,6 +62,11 @@
 
   // ---- what fronts and the program ask
 
+  /** Whether the cores are up. */
+  public boolean ready() {
+    return decisions.begun();
+  }
+
   /** What health checks are told. */
   public boolean good() {
     return good;
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -107,7 +107,6 @@
 
     /** Nothing was reached, so nothing ran. */
     @Override public void failed(Fault fault) {
-      counters.add("backend.unreached");
       end(End.UNREACHED, null);
     }
 
--- /dev/null
+++ b/src/test/java/rosecleat/standin/RespClient.java
@@ -0,0 +1,87 @@
+package rosecleat.standin;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** A balancer's connection: RESP arrays out, whole answers in. */
+public final class RespClient implements AutoCloseable {
+  private final Socket socket;
+  private final DataInputStream in;
+  private final Random pieces;
+
+  /** Connects; with a source of random numbers, writes go out in pieces of random length. */
+  public RespClient(int port, Random pieces) throws IOException {
+    socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(10_000);
+    in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+    this.pieces = pieces;
+  }
+
+  public static byte[] array(Object... words) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.writeBytes(("*" + words.length + "\r\n").getBytes(StandardCharsets.UTF_8));
+    for (Object word : words) {
+      byte[] bytes = word instanceof byte[] b ? b : word.toString().getBytes(StandardCharsets.UTF_8);
+      out.writeBytes(("$" + bytes.length + "\r\n").getBytes(StandardCharsets.UTF_8));
+      out.writeBytes(bytes);
+      out.writeBytes("\r\n".getBytes(StandardCharsets.UTF_8));
+    }
+    return out.toByteArray();
+  }
+
+  /** The fields of a request that comes now. */
+  public static String fields(String id, String tenant, int waitMs, String once) {
+    return "id=" + id + ",at=" + System.currentTimeMillis() + ",from=1,tenant=" + tenant + ",wait=" + waitMs
+        + ",kb=10.5,rank=0.5000" + (once == null ? "" : ",once=" + once);
+  }
+
+  public void send(byte[] bytes) throws IOException {
+    int at = 0;
+    while (at < bytes.length) {
+      int count = pieces == null ? bytes.length : Math.min(bytes.length - at, 1 + pieces.nextInt(40));
+      socket.getOutputStream().write(bytes, at, count);
+      at += count;
+    }
+  }
+
+  /** The next answer as words, null at the end of the connection. */
+  public List<String> read() throws IOException {
+    String head = line(in);
+    if (head == null) {
+      return null;
+    }
+    List<String> words = new ArrayList<>();
+    for (int i = Integer.parseInt(head.substring(1)); i > 0; i--) {
+      byte[] word = new byte[Integer.parseInt(line(in).substring(1))];
+      in.readFully(word);
+      in.skipBytes(2);
+      words.add(new String(word, StandardCharsets.UTF_8));
+    }
+    return words;
+  }
+
+  private static String line(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int c = in.read(); c != '\n'; c = in.read()) {
+      if (c < 0) {
+        return null;
+      }
+      line.append((char) c);
+    }
+    return line.toString().trim();
+  }
+
+  @Override public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/standin/Server.java
@@ -0,0 +1,76 @@
+package rosecleat.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A blocking server for stand-ins: a thread for each connection. */
+public abstract class Server implements AutoCloseable {
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final ServerSocket server;
+
+  protected Server() {
+    try {
+      server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+    thread(() -> {
+      while (!server.isClosed()) {
+        try {
+          Socket socket = server.accept();
+          socket.setTcpNoDelay(true);
+          open.add(socket);
+          thread(() -> session(socket));
+        } catch (IOException e) {
+          return;
+        }
+      }
+    });
+  }
+
+  private void session(Socket socket) {
+    try (socket) {
+      serve(socket);
+    } catch (IOException e) {
+      // the node closed, or the test did
+    } finally {
+      open.remove(socket);
+    }
+  }
+
+  protected abstract void serve(Socket socket) throws IOException;
+
+  public int port() {
+    return server.getLocalPort();
+  }
+
+  /** Cuts every connection, and goes on listening. */
+  public void cut() {
+    for (Socket socket : open) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    }
+  }
+
+  @Override public void close() {
+    try {
+      server.close();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+    cut();
+  }
+
+  protected static void thread(Runnable task) {
+    Thread thread = new Thread(task, "stand-in");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/standin/StandInRuntime.java
@@ -0,0 +1,173 @@
+package rosecleat.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** The machine's runtime as PROTOCOL describes it: so many cores, each doing one piece of work at a time. */
+public final class StandInRuntime extends Server {
+  private record Job(String id, String kind, byte[] body) { }
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final ScheduledExecutorService work = Executors.newSingleThreadScheduledExecutor(r -> {
+    Thread thread = new Thread(r, "stand-in runtime");
+    thread.setDaemon(true);
+    return thread;
+  });
+  private final int workMs;
+  private final ArrayDeque<Job> queue = new ArrayDeque<>();
+  private final Map<String, Job> jobs = new HashMap<>();
+  private final List<ObjectNode> notices = new ArrayList<>();
+  private int busy;
+  private Socket link;
+  public final List<String> commands = new ArrayList<>();
+  /** Each start: id and kind and body. */
+  public final List<String> starts = new ArrayList<>();
+  public volatile boolean nackStarts;
+  public volatile long readyAfterMs;
+
+  public StandInRuntime(int workMs) {
+    this.workMs = workMs;
+  }
+
+  /** What a run of this body brings. */
+  public static String result(String body) {
+    return "did " + body;
+  }
+
+  @Override protected void serve(Socket socket) throws IOException {
+    BufferedReader lines = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+    for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+      command(socket, json.readTree(line));
+    }
+  }
+
+  private synchronized void command(Socket socket, JsonNode c) throws IOException {
+    String id = c.path("job").asText();
+    commands.add(c.path("type").asText() + " " + id);
+    switch (c.path("type").asText()) {
+      case "sync" -> {
+        link = socket;
+        int n = c.path("n").asInt();
+        work.schedule(() -> ready(n), readyAfterMs, TimeUnit.MILLISECONDS);
+      }
+      case "start" -> {
+        if (nackStarts) {
+          send(json.createObjectNode().put("type", "nack").put("state", "start").put("job", id));
+        } else if (!jobs.containsKey(id)) {
+          byte[] body = Base64.getDecoder().decode(c.path("data").asText());
+          Job job = new Job(id, c.path("kind").asText(), body);
+          starts.add(id + " " + job.kind + " " + new String(body, StandardCharsets.UTF_8));
+          jobs.put(id, job);
+          queue.add(job);
+          next();
+        }
+      }
+      case "stop" -> {
+        Job job = jobs.remove(id);
+        if (job != null) {
+          queue.remove(job);
+          end(job, "halted", null);
+        }
+      }
+      case "give" -> finish(id, workMs);
+      case "omit" -> finish(id, 1);
+      case "gauges" -> {
+        ObjectNode load = json.createObjectNode().put("type", "load").put("ref", c.path("ref").asText());
+        load.putArray("gauges").add(Math.min(1, busy / (double) TestSite.CORES)).add(busy + queue.size()).add(0.1)
+            .add(3);
+        send(load);
+      }
+      default -> throw new IOException("no such command: " + c);
+    }
+  }
+
+  private synchronized void ready(int n) {
+    send(json.createObjectNode().put("type", "ready").put("state", "warm").put("took", 100_000));
+    notices.subList(n, notices.size()).forEach(this::send);
+  }
+
+  private void next() {
+    while (busy < TestSite.CORES && !queue.isEmpty()) {
+      Job job = queue.remove();
+      busy++;
+      work.schedule(() -> worked(job), workMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private synchronized void worked(Job job) {
+    busy--;
+    if (jobs.containsKey(job.id)) {
+      if (job.kind.equals("card-refresh")) {
+        notice(json.createObjectNode().put("type", "wants").put("job", job.id).put("data",
+            Base64.getEncoder().encodeToString(("call for " + job.id).getBytes(StandardCharsets.UTF_8))));
+      } else {
+        finish(job.id, 0);
+      }
+    }
+    next();
+  }
+
+  private void finish(String id, int afterMs) {
+    work.schedule(() -> {
+      synchronized (this) {
+        Job job = jobs.remove(id);
+        if (job != null) {
+          end(job, "ok", result(new String(job.body, StandardCharsets.UTF_8)));
+        }
+      }
+    }, afterMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void end(Job job, String state, String result) {
+    ObjectNode end = json.createObjectNode().put("type", "end").put("job", job.id).put("state", state)
+        .put("took", workMs);
+    if (result != null) {
+      end.put("data", Base64.getEncoder().encodeToString(result.getBytes(StandardCharsets.UTF_8)));
+    }
+    notice(end);
+  }
+
+  private void notice(ObjectNode notice) {
+    notice.put("n", notices.size() + 1);
+    notices.add(notice);
+    send(notice);
+  }
+
+  private void send(ObjectNode message) {
+    try {
+      link.getOutputStream().write((message + "\n").getBytes(StandardCharsets.UTF_8));
+    } catch (IOException e) {
+      // no link just now: it follows after the next sync
+    }
+  }
+
+  /** How often a body was started. */
+  public synchronized long startsOf(String body) {
+    return starts.stream().filter(s -> s.endsWith(" " + body)).count();
+  }
+
+  /** Whether a request of this id was started. */
+  public synchronized boolean started(String id) {
+    return starts.stream().anyMatch(s -> s.startsWith(id + " "));
+  }
+
+  @Override public void close() {
+    work.shutdownNow();
+    super.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/standin/TestSite.java
@@ -0,0 +1,40 @@
+package rosecleat.standin;
+
+import java.util.Map;
+import rosecleat.config.NodeConfig;
+
+/** A small site for tests: two tenants, a read, a read with a call below, and a keyed write. */
+public final class TestSite {
+  public static final int CORES = 2;
+
+  private TestSite() { }
+
+  /** A node's configuration; ports of 0 leave a part out. */
+  public static NodeConfig config(int runtime, int index, int roster, int stopMs, int graceMs) {
+    String text = """
+        {"name":"t1","listen":"127.0.0.1:0",%s%s%s"seed":"2a","stop_ms":%d,"limits":{"sockets":1024},
+         "settings":{
+          "bounds":{"max-retry-after-us":1000000,"retry-after":true},"clients":{"marks-retry":true},
+          "extra":{"below":"shared","calls-out":50,"calls-over-us":5000000,"class-calls":[false,true,false],
+           "clients-total":2,"cold":false,"cpus":%d,"gauges":["core_use","on_cores","heap_share","links"],
+           "halt":"drop","heeded-us":1000000,"idle-us":30000000,"key-kb":20,"lingers-us":200000,
+           "mem-limit-kb":200000,"passes-deadline":true,"run-factor":4,"say":"credit","tells-gone":true,
+           "worth-without":[0,0.3,0]},
+          "grades":[
+           {"credit":1,"deadline-us":1200000,"effect":"pure","name":"balance-check","promise-us":800000},
+           {"credit":1,"deadline-us":1200000,"effect":"pure","name":"card-refresh","promise-us":800000},
+           {"credit":1,"deadline-us":1200000,"effect":"token","name":"card-load","promise-us":800000,
+            "window-us":4000000}],
+          "parties":[{"name":"big","quota-per-s":50},{"name":"small","quota-per-s":50}],
+          "over-share-worth":0.05,"servers":1,"round-us":4000,
+          "rules":{"answer-slack-us":80000,"cold-share":0.3,"fall-multiple":8,"overload-for-us":2000000,
+           "ramp-time-us":5000000,"stop-sending-within-us":%d}}}
+        """.formatted(address("runtime", runtime), address("index", index), address("roster", roster), stopMs,
+        CORES, graceMs * 1000);
+    return NodeConfig.parse(text, Map.of());
+  }
+
+  private static String address(String name, int port) {
+    return port == 0 ? "" : "\"" + name + "\":\"127.0.0.1:" + port + "\",";
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/standin/UwsgiBackend.java
@@ -0,0 +1,46 @@
+package rosecleat.standin;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A team's uwsgi service: reads a request, then does what the test says. */
+public final class UwsgiBackend extends Server {
+  /** What it does with a request. */
+  public enum Mood { GOOD, ERROR, BREAKS, SLOW }
+
+  public final AtomicInteger requests = new AtomicInteger();
+  public final AtomicInteger closedOnUs = new AtomicInteger();
+  public volatile Mood mood = Mood.GOOD;
+  public volatile int bytes = 10;
+  public volatile String lastPacket = "";
+
+  @Override protected void serve(Socket socket) throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    in.readByte();
+    int size = in.readUnsignedByte() | in.readUnsignedByte() << 8;
+    in.readByte();
+    byte[] block = new byte[size];
+    in.readFully(block);
+    lastPacket = new String(block, StandardCharsets.ISO_8859_1);
+    int at = lastPacket.indexOf("CONTENT_LENGTH") + 16; // behind the name come two bytes of length
+    in.readFully(new byte[Integer.parseInt(lastPacket.substring(at, at + lastPacket.charAt(at - 2)))]);
+    requests.incrementAndGet();
+    switch (mood) {
+      case GOOD -> {
+        socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n"
+            + "x".repeat(bytes)).getBytes(StandardCharsets.UTF_8));
+      }
+      case ERROR -> socket.getOutputStream().write("HTTP/1.1 500 Oops\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+      case BREAKS -> { } // closes without a word
+      case SLOW -> {
+        while (in.read() >= 0) {
+          Thread.onSpinWait();
+        }
+        closedOnUs.incrementAndGet();
+      }
+    }
+  }
+}
