--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -27,6 +27,9 @@
     @Parameter(names = "--broker", description = "the file that turns on the uwsgi front")
     private String broker;
 
+    @Parameter(names = "--counters", description = "log the counters every so many seconds")
+    private int countersEvery;
+
     BrokerConfig broker(NodeConfig config) {
       return broker == null ? null : BrokerConfig.read(Path.of(broker), config.start());
     }
@@ -75,7 +78,7 @@
       switch (word) {
         case "serve" -> {
           NodeConfig config = NodeConfig.fromEnvironment(env);
-          return Serving.start(config, serve.broker(config));
+          return Serving.start(config, serve.broker(config), serve.countersEvery);
         }
         case "benchlink" -> {
           System.setOut(System.err);
--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -106,6 +106,14 @@
     }
   }
 
+  /** Logs the counters from now on, so often. */
+  void logCounters(long everyUs) {
+    loop.after(everyUs, () -> {
+      log.info(counters.toString());
+      logCounters(everyUs);
+    });
+  }
+
   /** The port for balancers. */
   int port() {
     return resp.port();
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -26,14 +26,17 @@
     this.log = log;
   }
 
-  /** Starts a node; it goes on after this returns. */
-  static int start(NodeConfig config, BrokerConfig broker) throws IOException {
+  /** Starts a node, which logs its counters so often (seconds, 0 for never); it goes on after this returns. */
+  static int start(NodeConfig config, BrokerConfig broker, int countersEvery) throws IOException {
     Log log = new Log(System.err);
     Node node = new Node(config, broker, log);
     Serving serving = new Serving(config, node, log);
     new Thread(serving::stay, "stay").start();
     Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
     node.start();
+    if (countersEvery > 0) {
+      node.logCounters(countersEvery * 1_000_000L);
+    }
     return GOES_ON;
   }
 
--- a/src/main/java/rosecleat/net/EventLoop.java
+++ b/src/main/java/rosecleat/net/EventLoop.java
@@ -48,7 +48,7 @@
     try {
       executor.execute(() -> guarded(task));
     } catch (RejectedExecutionException e) {
-      log.info("a task came after the loop had closed");
+      return; // the loop has closed, and with it every connection the task could be about
     }
   }
 
