--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -71,7 +71,8 @@
     Check check = new Check();
     JCommander commands = JCommander.newBuilder().programName("rosecleat").addCommand("serve", serve)
         .addCommand("benchlink", new Benchlink()).addCommand("check", check)
-        .addCommand("rehearse", new Rehearse()).addCommand("version", new Version()).addCommand("help", new Help()).build();
+        .addCommand("rehearse", new Rehearse()).addCommand("version", new Version())
+        .addCommand("help", new Help()).build();
     try {
       commands.parse(args);
       String word = commands.getParsedCommand();
--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -33,6 +33,8 @@
   private static final long LAST_US = 300_000;
   /** Without a connection for so long the node has nothing left to do (us). */
   private static final long QUIET_US = 200_000;
+  /** When no connection has come for so long, none is expected any more (us). */
+  private static final long CALM_US = 500_000;
 
   private final NodeConfig config;
   private final Log log;
@@ -58,8 +60,8 @@
       PolicyApi.Settings settings = start.settings();
       List<Core.Klass> classes = classes(start);
       IndexClient index = new IndexClient(loop, config.index(), clock, counters, log);
-      Core.Rules rules = new Core.Rules(settings.cores(), classes, settings.slackUs(), settings.graceUs(), settings.idleUs(),
-          RESULT_BYTES);
+      Core.Rules rules = new Core.Rules(settings.cores(), classes, settings.slackUs(), settings.graceUs(),
+          settings.idleUs(), RESULT_BYTES);
       core = new Core(rules, new Decisions(settings, start.gauges(), config.seed()), index, clock, counters, log);
       index.tell(core);
       runtime = new RuntimeLink(loop, config.runtime(), core, clock, log);
@@ -163,20 +165,23 @@
   }
 
   /**
-   * Past the grace nothing that comes is run any more: connections are asked to close and no new ones are
-   * taken. What is still owed just before the end is failed, so that nothing read stays unanswered.
+   * Past the grace nothing that comes is run any more: connections are asked to close, and once no new ones
+   * come none are taken. Closing the socket under callers that still connect would reset what the system has
+   * accepted for this node; those are answered like all others. What is still owed just before the end is
+   * answered then, so that nothing read stays unanswered.
    */
   private void leaving() {
     long now = clock.getAsLong();
     if (core.pastGrace()) {
-      resp.stopListening();
+      long quietUs = now > endUs - 2 * LAST_US ? 0 : CALM_US;
+      resp.stopListening(quietUs);
       if (uwsgi != null) {
-        uwsgi.stopListening();
-        uwsgi.closeIdle();
+        uwsgi.stopListening(quietUs);
+        uwsgi.closeIdle(quietUs);
       }
     }
     if (now > endUs - LAST_US) {
-      core.failAll("the node is stopped");
+      core.answerAll("the node is stopped");
     }
     boolean empty = core.pastGrace() && core.owed() == 0 && resp.open() == 0 && (uwsgi == null || uwsgi.open() == 0);
     emptySinceUs = !empty ? 0 : emptySinceUs == 0 ? now : emptySinceUs;
--- a/src/main/java/rosecleat/config/BrokerConfig.java
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -39,7 +39,8 @@
    * @param tenants the tenants of the teams that have a budget, by team
    */
   public record Operation(String id, String method, String path, String contentType, String kind, int klass,
-      boolean keyed, long deadlineUs, double kb, double rank, InetSocketAddress backend, Map<String, Integer> tenants) { }
+      boolean keyed, long deadlineUs, double kb, double rank, InetSocketAddress backend,
+      Map<String, Integer> tenants) { }
 
   private static final String RUNTIME = "runtime";
   private static final String UWSGI = "uwsgi://";
@@ -147,7 +148,8 @@
         throw new ConfigException("service " + service + " has no budget");
       }
       return new Operation(id, one.method(), one.path(), one.contentType(), kind, klass,
-          classes.get(klass).effect() == Effect.KEYED, classes.get(klass).dueUs(), kb, rank, backend, Map.copyOf(teams));
+          classes.get(klass).effect() == Effect.KEYED, classes.get(klass).dueUs(), kb, rank, backend,
+          Map.copyOf(teams));
     }
 
     private static InetSocketAddress backend(String service, String text) {
--- a/src/main/java/rosecleat/config/Descriptions.java
+++ b/src/main/java/rosecleat/config/Descriptions.java
@@ -38,7 +38,7 @@
     OpenAPI api = result.getOpenAPI();
     if (api == null || api.getPaths() == null || !result.getMessages().isEmpty()) {
       throw new ConfigException("no usable OpenAPI description in " + file
-          + (result.getMessages() == null || result.getMessages().isEmpty() ? "" : ": " + result.getMessages().get(0)));
+          + (result.getMessages().isEmpty() ? "" : ": " + result.getMessages().get(0)));
     }
     String base = base(api);
     List<Described> found = new ArrayList<>();
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -63,9 +63,11 @@
     return peers.size();
   }
 
-  /** Accepts no further connection. */
-  public void stopListening() {
-    listener.close();
+  /** Accepts no further connection, once none has come for so long. */
+  public void stopListening(long quietUs) {
+    if (listener.quietUs() >= quietUs) {
+      listener.close();
+    }
   }
 
   /** Asks balancers to close every connection that has stood idle for its time, or all; then sees to it. */
--- a/src/main/java/rosecleat/front/uwsgi/Requests.java
+++ b/src/main/java/rosecleat/front/uwsgi/Requests.java
@@ -82,7 +82,8 @@
     long waitUs = wait.isEmpty() ? operation.deadlineUs()
         : Math.min(operation.deadlineUs(), 1000 * Long.parseLong(wait));
     Ask ask = new Ask(id(), nowUs, waitUs, operation.klass(), operation.kind(), tenant, caller(team),
-        packet.var(config.vars().retry()).equals("1"), operation.kb(), operation.rank(), operation.keyed() ? key : null, 0, body,
+        packet.var(config.vars().retry()).equals("1"), operation.kb(), operation.rank(),
+        operation.keyed() ? key : null, 0, body,
         operation.backend() == null ? Map.of() : passedOn(packet, operation),
         operation.backend() == null ? runtime : backends, front);
     return new Outcome(ask, operation, null);
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -69,15 +69,18 @@
     return replying;
   }
 
-  /** Accepts no further connection. */
-  public void stopListening() {
-    listener.close();
+  /** Accepts no further connection, once none has come for so long. */
+  public void stopListening(long quietUs) {
+    if (listener.quietUs() >= quietUs) {
+      listener.close();
+    }
   }
 
-  /** Closes the connections on which nothing of a request has come. */
-  public void closeIdle() {
+  /** Closes the connections on which nothing of a request has come for so long. */
+  public void closeIdle(long quietUs) {
+    long now = clock.getAsLong();
     for (Caller caller : new ArrayList<>(callers)) {
-      if (!caller.parser.begun()) {
+      if (!caller.parser.begun() && now - caller.acceptedUs >= quietUs) {
         caller.connection.close("the node leaves");
       }
     }
@@ -95,6 +98,7 @@
   private final class Caller implements Connection.Owner {
     private final Connection connection;
     private final UwsgiParser parser = new UwsgiParser(config.limits().packetBytes(), config.limits().bodyBytes());
+    private final long acceptedUs = clock.getAsLong();
     private Future<?> patience;
     private Core.Handle handle;
     private Operation operation;
@@ -154,8 +158,8 @@
       patience.cancel(false);
       replying -= booked;
       listener.released();
-      if (fault.progress() != Progress.SENT || fault.why().contains("takes nothing")) {
-        counters.add("uwsgi.cut");
+      if (fault.progress() != Progress.SENT) {
+        counters.add("uwsgi.cut"); // with part of its reply still here
       }
       if (handle != null) {
         handle.gone(); // the caller closed before its answer
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -260,7 +260,7 @@
       return;
     }
     if (written == before) {
-      end(new Fault(Progress.SENT, "the peer takes nothing"), false);
+      end(new Fault(Progress.NOT_SENT, "the peer takes nothing"), false);
     } else {
       long now = written;
       stall = loop.after(limits.stallUs(), () -> stalled(now));
--- a/src/main/java/rosecleat/net/LineBuffer.java
+++ b/src/main/java/rosecleat/net/LineBuffer.java
@@ -23,7 +23,8 @@
       return false;
     }
     if (to + count > bytes.length) {
-      byte[] room = to - from + count > bytes.length ? new byte[Math.max(2 * bytes.length, to - from + count)] : bytes;
+      int need = to - from + count;
+      byte[] room = need > bytes.length ? new byte[Math.max(2 * bytes.length, need)] : bytes;
       System.arraycopy(bytes, from, room, 0, to - from);
       to -= from;
       from = 0;
--- a/src/main/java/rosecleat/net/Listener.java
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -22,6 +22,7 @@
   private int open;
   private boolean waiting;
   private boolean closed;
+  private long lastNs = System.nanoTime();
 
   /** Listens at an address; each connection is handed over on the loop. At {@code most} open it accepts no more. */
   public Listener(EventLoop loop, InetSocketAddress at, int most, Connection.Limits limits,
@@ -60,7 +61,15 @@
     }
   }
 
-  /** Accepts nothing more; connections already taken stay. */
+  /** How long ago the last connection came (us). */
+  public long quietUs() {
+    return (System.nanoTime() - lastNs) / 1_000;
+  }
+
+  /**
+   * Accepts nothing more; connections already taken stay. The system resets those that it has accepted and
+   * that have not been taken yet, so this is for a time when none come.
+   */
   public void close() {
     closed = true;
     Connection.closeQuietly(server);
@@ -84,6 +93,7 @@
 
   private void accepted(AsynchronousSocketChannel channel) {
     open++;
+    lastNs = System.nanoTime();
     try {
       taker.accept(new Connection(loop, channel, limits));
     } catch (RuntimeException e) {
--- /dev/null
+++ b/src/test/java/rosecleat/log/LogTest.java
@@ -0,0 +1,40 @@
+package rosecleat.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+class LogTest {
+  @Test void aStuckStreamCostsLinesNotTime() throws Exception {
+    CountDownLatch stuck = new CountDownLatch(1);
+    OutputStream stream = new OutputStream() {
+      @Override public void write(int b) {
+        try {
+          stuck.await();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      }
+    };
+    Log log = new Log(new PrintStream(stream, true), 8);
+    for (int i = 0; i < 100; i++) {
+      log.info("line " + i);
+    }
+    assertTrue(log.dropped() >= 91, "dropped " + log.dropped()); // one is being written, eight wait
+    stuck.countDown();
+    log.close();
+  }
+
+  @Test void callersCannotForgeLines() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    Log log = new Log(new PrintStream(out, true));
+    log.warn("a\nb");
+    log.close();
+    assertEquals(1, out.toString().lines().count());
+  }
+}
