End a drain only once the listening sockets are closed and every connection is gone

Read again: the process could end while its sockets still listened, and printed its counters from another thread than the one that counts. Both now happen on the loop, in order. Code that nothing used is gone.

--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -31,8 +31,6 @@
   private static final long EARLY_US = 150_000;
   /** What is owed so shortly before the end is failed (us). */
   private static final long LAST_US = 300_000;
-  /** Without a connection for so long the node has nothing left to do (us). */
-  private static final long QUIET_US = 200_000;
   /** When no connection has come for so long, none is expected any more (us). */
   private static final long CALM_US = 500_000;
 
@@ -47,7 +45,6 @@
   private final RespFront resp;
   private final UwsgiFront uwsgi;
   private long endUs = Long.MAX_VALUE;
-  private long emptySinceUs;
   private Runnable whenLeft = () -> { };
 
   /** A node; {@code broker} is null where there is no second front. */
@@ -172,21 +169,24 @@
    */
   private void leaving() {
     long now = clock.getAsLong();
+    boolean shut = false;
     if (core.pastGrace()) {
       long quietUs = now > endUs - 2 * LAST_US ? 0 : CALM_US;
-      resp.stopListening(quietUs);
+      shut = resp.stopListening(quietUs) & (uwsgi == null || uwsgi.stopListening(quietUs));
       if (uwsgi != null) {
-        uwsgi.stopListening(quietUs);
         uwsgi.closeIdle(quietUs);
       }
     }
     if (now > endUs - LAST_US) {
       core.answerAll("the node is stopped");
     }
-    boolean empty = core.pastGrace() && core.owed() == 0 && resp.open() == 0 && (uwsgi == null || uwsgi.open() == 0);
-    emptySinceUs = !empty ? 0 : emptySinceUs == 0 ? now : emptySinceUs;
-    if (empty && now - emptySinceUs > QUIET_US || now > endUs - EARLY_US) {
-      whenLeft.run();
+    boolean empty = shut && core.owed() == 0 && resp.open() == 0 && (uwsgi == null || uwsgi.open() == 0);
+    if (empty || now > endUs - EARLY_US) {
+      log.info(counters.toString());
+      Runnable done = whenLeft;
+      whenLeft = () -> { };
+      endUs = Long.MAX_VALUE; // said once; the process ends now
+      done.run();
     }
   }
 
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -59,7 +59,6 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    log.info(node.core().counters().toString());
     log.close();
     Runtime.getRuntime().halt(0);
   }
--- a/src/main/java/rosecleat/core/KeyTable.java
+++ b/src/main/java/rosecleat/core/KeyTable.java
@@ -162,12 +162,4 @@
     held -= entry.result == null ? 0 : entry.result.length;
     entry.result = null;
   }
-
-  int size() {
-    return entries.size();
-  }
-
-  long heldBytes() {
-    return held;
-  }
 }
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -63,11 +63,9 @@
     return peers.size();
   }
 
-  /** Accepts no further connection, once none has come for so long. */
-  public void stopListening(long quietUs) {
-    if (listener.quietUs() >= quietUs) {
-      listener.close();
-    }
+  /** Accepts no further connection, once none has come for so long; true when none can come any more. */
+  public boolean stopListening(long quietUs) {
+    return listener.closeIfQuiet(quietUs);
   }
 
   /** Asks balancers to close every connection that has stood idle for its time, or all; then sees to it. */
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -69,11 +69,9 @@
     return replying;
   }
 
-  /** Accepts no further connection, once none has come for so long. */
-  public void stopListening(long quietUs) {
-    if (listener.quietUs() >= quietUs) {
-      listener.close();
-    }
+  /** Accepts no further connection, once none has come for so long; true when none can come any more. */
+  public boolean stopListening(long quietUs) {
+    return listener.closeIfQuiet(quietUs);
   }
 
   /** Closes the connections on which nothing of a request has come for so long. */
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -61,11 +61,6 @@
 
   @Override public void omit(String id, long notice) { }
 
-  /** Runs that are out. */
-  public int out() {
-    return runs.size();
-  }
-
   /** One run on one connection. */
   private final class Run implements Connection.Dialled, Connection.Owner {
     private final Ask ask;
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -15,8 +15,8 @@
  * One connection: a read at a time, a write at a time, and a bounded queue of writes. Everything but the
  * bare completion handlers runs on the loop.
  *
- * <p>Backpressure works by not reading: while more than a mark of bytes waits to be written, or after
- * {@link #pause}, no read is started.
+ * <p>Backpressure works by not reading: while more than a mark of bytes waits to be written, no read is
+ * started.
  */
 public final class Connection {
   /** What a connection tells its owner, on the loop. */
@@ -26,9 +26,6 @@
 
     /** The connection has ended; comes once. {@code atEnd} is true where the peer closed it in order. */
     void closed(Fault fault, boolean atEnd);
-
-    /** Everything queued has been handed to the system. */
-    default void drained() { }
   }
 
   /** The bounds of a connection, in bytes and microseconds. */
@@ -51,7 +48,6 @@
   private int queued;
   private boolean reading;
   private boolean writing;
-  private boolean paused;
   private boolean closing;
   private boolean closed;
   private long written;
@@ -128,32 +124,11 @@
     read();
   }
 
-  /** Stops reading until {@link #resume}. */
-  public void pause() {
-    paused = true;
-  }
-
-  /** Reads on. */
-  public void resume() {
-    paused = false;
-    read();
-  }
-
   /** Whether the connection is over or about to be. */
   public boolean isClosed() {
     return closed || closing;
   }
 
-  /** Bytes that wait to be written. */
-  public int queued() {
-    return queued;
-  }
-
-  /** Bytes handed to the system so far. */
-  public long written() {
-    return written;
-  }
-
   /** Queues bytes; false, and the connection closed, where the queue has no room for them. */
   public boolean write(ByteBuffer bytes) {
     if (isClosed()) {
@@ -176,7 +151,6 @@
    */
   public void closeWhenWritten() {
     closing = true;
-    paused = false;
     if (queue.isEmpty()) {
       shutOutput();
     }
@@ -199,7 +173,7 @@
   }
 
   private void read() {
-    if (reading || closed || paused || owner == null || queued > limits.pauseAbove()) {
+    if (reading || closed || owner == null || queued > limits.pauseAbove()) {
       return;
     }
     reading = true;
@@ -288,7 +262,6 @@
         shutOutput();
         return;
       }
-      owner.drained();
     }
     flush();
     read();
--- a/src/main/java/rosecleat/net/Listener.java
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -61,18 +61,16 @@
     }
   }
 
-  /** How long ago the last connection came (us). */
-  public long quietUs() {
-    return (System.nanoTime() - lastNs) / 1_000;
-  }
-
   /**
-   * Accepts nothing more; connections already taken stay. The system resets those that it has accepted and
-   * that have not been taken yet, so this is for a time when none come.
+   * Accepts nothing more, if no connection has come for so long; true once it is closed. Guards connections that
+   * the system has accepted and this program has not taken yet: closing the socket would reset them.
    */
-  public void close() {
-    closed = true;
-    Connection.closeQuietly(server);
+  public boolean closeIfQuiet(long quietUs) {
+    if (!closed && (System.nanoTime() - lastNs) / 1_000 >= quietUs) {
+      closed = true;
+      Connection.closeQuietly(server);
+    }
+    return closed;
   }
 
   private void accept() {
--- a/src/main/java/rosecleat/roster/RosterClient.java
+++ b/src/main/java/rosecleat/roster/RosterClient.java
@@ -29,7 +29,6 @@
   private boolean waiting;
   private boolean on = true;
   private boolean again;
-  private boolean closed;
   private Future<?> patience;
   private Reply reply;
 
@@ -52,9 +51,6 @@
 
   /** Begins to report, each second from now on. */
   public void begin() {
-    if (closed) {
-      return;
-    }
     report();
     loop.after(EACH_US, this::begin);
   }
@@ -65,14 +61,6 @@
     report();
   }
 
-  /** Reports no more. */
-  public void close() {
-    closed = true;
-    if (connection != null) {
-      connection.close("the program ends");
-    }
-  }
-
   private void report() {
     if (waiting) {
       again = !on; // the notice to leave must not wait a second for its turn
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -45,7 +45,6 @@
   private final Set<String> repeated = new HashSet<>();
   private Connection link;
   private boolean ready;
-  private boolean closed;
   private long lastNotice;
   private long gaugesAskedUs;
   private boolean gaugesOut;
@@ -62,9 +61,6 @@
 
   /** Opens the link, and opens it again whenever it is lost. */
   public void connect() {
-    if (closed) {
-      return;
-    }
     Connection.dial(loop, address, DIAL_US, LIMITS, new Connection.Dialled() {
       @Override public void connected(Connection connection) {
         adopt(connection);
@@ -76,14 +72,6 @@
     });
   }
 
-  /** Closes the link for good. */
-  public void close() {
-    closed = true;
-    if (link != null) {
-      link.close("the program ends");
-    }
-  }
-
   private void adopt(Connection connection) {
     link = connection;
     ready = false;
