Forget a run whose end was lost, so that it does not hold its place for ever

Read again: a keyed start that a broken link swallows is not sent again, and nothing ended its run in the module's books: it counted as running for ever. Thirty seconds after its answer was due it is forgotten now; CoreTest shows that the cores are free again.

--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -267,7 +267,7 @@
       return now + TICK_US;
     }
     if (now >= nextExpiry) {
-      work.expireKeys();
+      work.expire();
       nextExpiry = now + EXPIRE_US;
     }
     long next = decisions.tick(now);
--- a/src/main/java/rosecleat/core/Work.java
+++ b/src/main/java/rosecleat/core/Work.java
@@ -13,6 +13,8 @@
 final class Work {
   /** Sockets get so much longer than the settings say; keys are kept at least as long. */
   private static final long SOCKET_SLACK_US = 50_000;
+  /** A run that has not ended so long after its answer was due is not waited for any more (us). */
+  private static final long LOST_US = 30_000_000;
 
   private final Core.Rules rules;
   private final Ledger ledger;
@@ -76,8 +78,26 @@
     return keyed(life) ? keys.original(life.ask) : 0;
   }
 
-  void expireKeys() {
-    keys.expire(clock.getAsLong());
+  /** Drops keys that have lapsed, and runs whose end was lost. */
+  void expire() {
+    long now = clock.getAsLong();
+    keys.expire(now);
+    for (Life life : all()) {
+      if (!life.owed() && now > life.dueUs + LOST_US) {
+        lost(life, now);
+      }
+    }
+  }
+
+  /**
+   * Guards against ends that a broken link swallowed: without this the module would count such a run as running
+   * for ever, and run fewer and fewer others.
+   */
+  private void lost(Life life, long now) {
+    counters.add("runs.lost");
+    log.warn("a run has not ended long after its answer was due, and is forgotten");
+    stop(life);
+    broken(life, Progress.MAY_HAVE_RUN, "its end was lost", now - life.startedUs);
   }
 
   // ---- orders
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -223,6 +223,20 @@
     assertTrue(one.answers.isEmpty());
   }
 
+  @Test void aRunWhoseEndIsLostIsForgottenInTheEnd() {
+    Try first = load("a"); // of a keyed class: not stopped when it is given up on
+    Try second = load("b");
+    pass(1_500_000);
+    assertEquals(2, core.inHand());
+    pass(32_000_000);
+    assertEquals(Progress.MAY_HAVE_RUN, first.failed());
+    assertEquals(Progress.MAY_HAVE_RUN, second.failed());
+    assertEquals(0, core.inHand());
+    Try third = send(0, null, "x"); // the cores are free again
+    end(third, Runner.End.OK, "done");
+    assertArrayEquals("done".getBytes(), third.served());
+  }
+
   @Test void anIdInHandIsNotTakenTwice() {
     Try first = send(0, null, "x");
     ids--;
