Take up no work when told to leave before the cores are up

Read again: the notice was not passed on to a module that had not begun, which would then have started its grace late. Such a node now fails its health checks and turns everything away; CoreTest shows it.

--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -108,7 +108,7 @@
   /** The cores are up, since some time; {@code runner} is the one to ask for gauges, null for none. */
   public void begin(Runner runner, boolean cold, long tookUs) {
     gauged = runner;
-    if (!decisions.begun()) {
+    if (!decisions.begun() && !draining) { // told to leave before the cores were up, it takes up nothing
       decisions.begin(clock.getAsLong() - Math.max(0, tookUs), cold);
       obey();
     }
@@ -246,6 +246,7 @@
       return;
     }
     draining = true;
+    good = false;
     graceEndUs = clock.getAsLong() + rules.graceUs();
     if (decisions.begun()) {
       report(new Report.Draining(leftUs));
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -84,12 +84,16 @@
   }
 
   private void start(long resultBytes) {
+    core = fresh(resultBytes);
+    core.begin(null, false, 0);
+  }
+
+  private Core fresh(long resultBytes) {
     NodeConfig config = TestSite.config(0, 0, 0, 3_000, 1_500);
     List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, 0, 1_200_000),
         new Core.Klass("card-refresh", false, 0, 1_200_000), new Core.Klass("card-load", true, WINDOW_US, 1_200_000));
-    core = new Core(new Core.Rules(TestSite.CORES, classes, 80_000, 1_500_000, 30_000_000, resultBytes),
+    return new Core(new Core.Rules(TestSite.CORES, classes, 80_000, 1_500_000, 30_000_000, resultBytes),
         new Decisions(config.start().settings(), config.start().gauges(), 5), ledger, () -> now, new Counters(), log);
-    core.begin(null, false, 0);
   }
 
   @AfterEach void stop() {
@@ -223,6 +227,17 @@
     assertTrue(one.answers.isEmpty());
   }
 
+  @Test void aNoticeToLeaveThatComesBeforeTheCoresAreUpHolds() {
+    core = fresh(1 << 20);
+    assertTrue(core.good());
+    core.drain(3_000_000);
+    assertTrue(!core.good());
+    core.begin(null, false, 0);
+    assertTrue(!core.good());
+    assertInstanceOf(Answer.Refused.class, send(0, null, "x").only());
+    assertEquals(0, starts());
+  }
+
   @Test void aRunWhoseEndIsLostIsForgottenInTheEnd() {
     Try first = load("a"); // of a keyed class: not stopped when it is given up on
     Try second = load("b");
