Cut off uwsgi callers that take their reply too slowly

Read again: the stall guard asks only for some progress, so a caller that trickles could hold its share of the bound on replies for hours, and others would hear that there is no room. A whole reply now has reply_ms (30 s); a test with a trickling caller shows it, and fails without the new limit.

--- a/src/main/java/rosecleat/config/BrokerConfig.java
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -24,7 +24,7 @@
 
   /** Bounds of the uwsgi connections, in bytes and microseconds. */
   public record Limits(int packetBytes, int bodyBytes, int replyBytes, long repliesBytes, long readUs,
-      long stallUs) { }
+      long stallUs, long replyUs) { }
 
   /** The names of the vars that callers use beside the protocol's own. */
   public record Vars(String team, String deadlineMs, String key, String retry) { }
@@ -98,7 +98,7 @@
       JsonNode l = uwsgi.path("limits");
       Limits limits = new Limits(whole(l, "packet_bytes", 16 << 10), whole(l, "body_bytes", 64 << 10),
           whole(l, "reply_bytes", 1 << 20), whole(l, "replies_bytes", 8 << 20), 1000L * whole(l, "read_ms", 5_000),
-          1000L * whole(l, "stall_ms", 5_000));
+          1000L * whole(l, "stall_ms", 5_000), 1000L * whole(l, "reply_ms", 30_000));
       JsonNode v = uwsgi.path("vars");
       Vars vars = new Vars(v.path("team").asText("HTTP_X_TEAM"), v.path("deadline_ms").asText("HTTP_X_DEADLINE_MS"),
           v.path("key").asText("HTTP_IDEMPOTENCY_KEY"), v.path("retry").asText("HTTP_X_RETRY"));
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -92,7 +92,7 @@
     connection.start(caller);
   }
 
-  /** One caller with its one request. */
+  /** One caller with its one request. Its patience ends what takes too long: the request, then the reply. */
   private final class Caller implements Connection.Owner {
     private final Connection connection;
     private final UwsgiParser parser = new UwsgiParser(config.limits().packetBytes(), config.limits().bodyBytes());
@@ -206,6 +206,8 @@
         connection.write(ByteBuffer.wrap(reply.body()));
       }
       connection.closeWhenWritten();
+      patience.cancel(false);
+      patience = loop.after(config.limits().replyUs(), () -> connection.close("the reply was not taken in time"));
     }
 
     private static Map<String, String> progress(Progress progress) {
--- a/src/test/java/rosecleat/cli/Rig.java
+++ b/src/test/java/rosecleat/cli/Rig.java
@@ -38,7 +38,7 @@
       uwsgi:
         listen: 127.0.0.1:%d
         limits: {packet_bytes: 4096, body_bytes: 1024, reply_bytes: 8000000, replies_bytes: 12000000, read_ms: 700,
-          stall_ms: 1000}
+          stall_ms: 1000, reply_ms: 2000}
       descriptions: [{openapi: cards.yaml}, {asyncapi: loads.yaml}]
       services:
         cards:
--- a/src/test/java/rosecleat/cli/UwsgiFrontTest.java
+++ b/src/test/java/rosecleat/cli/UwsgiFrontTest.java
@@ -198,6 +198,26 @@
     rig.await(core -> core.counters().get("uwsgi.slow") == 1);
   }
 
+  @Test void aCallerThatTricklesIsCutOffToo() throws Exception {
+    rig.backend.bytes = 6_000_000;
+    try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+      socket.getOutputStream().write(packet(vars("GET", "/files/a", "till"), ""));
+      long start = System.nanoTime();
+      long taken = 0;
+      try {
+        for (int got = 0; got >= 0; taken += got) { // always some progress, but 6 MB would take over 6 s
+          Thread.sleep(50);
+          got = socket.getInputStream().read(new byte[50_000]);
+        }
+      } catch (java.net.SocketException e) {
+        // reset: it was cut off
+      }
+      assertTrue(taken < 6_000_000, "all was taken");
+      assertTrue(System.nanoTime() - start < 10_000_000_000L, "it was cut off late");
+    }
+    rig.await(core -> rig.node.uwsgi().open() == 0 && rig.node.uwsgi().replying() == 0);
+  }
+
   @Test void oneLoadRunsOnceAcrossBothFronts() throws IOException {
     String key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
     assertEquals(StandInRuntime.result("load 5"), load(key, "load 5").body());
--- a/src/test/java/rosecleat/standin/UwsgiClient.java
+++ b/src/test/java/rosecleat/standin/UwsgiClient.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
@@ -60,8 +61,11 @@
     out.writeBytes(text.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Connects with a small buffer, so that a large reply is not all taken by the system. */
   public static Socket open(int port) throws IOException {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(64 << 10);
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     socket.setSoTimeout(10_000);
     return socket;
   }
