Let a broker serve its backends without a runtime, and say what each package is for

Read again: without a runtime, requests for it piled up as unsent commands until they were due. They fail at once now, with the proof that nothing ran; a node with neither runtime nor broker's file ends with one line.

--- /dev/null
+++ b/src/main/java/rosecleat/benchlink/package-info.java
@@ -0,0 +1,2 @@
+/** The decisions on the simulator's wire. */
+package rosecleat.benchlink;
--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -31,7 +31,13 @@
     private int countersEvery;
 
     BrokerConfig broker(NodeConfig config) {
-      return broker == null ? null : BrokerConfig.read(Path.of(broker), config.start());
+      if (broker == null) {
+        if (config.runtime() == null) {
+          throw new ConfigException("the configuration names no runtime, and there is no broker's file");
+        }
+        return null;
+      }
+      return BrokerConfig.read(Path.of(broker), config.start());
     }
   }
 
--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -9,6 +9,7 @@
 import rosecleat.config.SettingsReader;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
+import rosecleat.core.Runner;
 import rosecleat.front.resp.RespFront;
 import rosecleat.front.uwsgi.UwsgiFront;
 import rosecleat.front.uwsgi.UwsgiRunner;
@@ -19,6 +20,7 @@
 import rosecleat.policy.Decisions;
 import rosecleat.policy.PolicyApi;
 import rosecleat.roster.RosterClient;
+import rosecleat.runtime.NoRuntime;
 import rosecleat.runtime.RuntimeLink;
 
 /** The parts of one node put together: the core, its fronts and its links, all on one loop. */
@@ -61,13 +63,14 @@
           settings.idleUs(), RESULT_BYTES);
       core = new Core(rules, new Decisions(settings, start.gauges(), config.seed()), index, clock, counters, log);
       index.tell(core);
-      runtime = new RuntimeLink(loop, config.runtime(), core, clock, log);
+      runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
+      Runner runner = runtime == null ? new NoRuntime(loop, core) : runtime;
       roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
       int others = OWN_SOCKETS + (broker == null ? 0 : 2 * broker.connections());
       int known = config.start().classes().size(); // contracts add theirs behind; balancers can't name those
       resp = new RespFront(loop, config.listen(), Math.max(1, config.sockets() - others), core,
-          new RespFront.Names(classes.subList(0, known), config.start().tenants(), runtime), clock, log);
-      uwsgi = broker == null ? null : new UwsgiFront(loop, broker, core, runtime,
+          new RespFront.Names(classes.subList(0, known), config.start().tenants(), runner), clock, log);
+      uwsgi = broker == null ? null : new UwsgiFront(loop, broker, core, runner,
           new UwsgiRunner(loop, core, clock, broker.limits().replyBytes()), clock, log, ~config.seed());
     } catch (IOException | RuntimeException e) {
       loop.close();
@@ -89,7 +92,7 @@
   /** Opens the links and begins to serve. */
   void start() {
     loop.execute(() -> {
-      if (config.runtime() == null) {
+      if (runtime == null) {
         core.begin(null, false, 0);
       } else {
         runtime.connect();
--- /dev/null
+++ b/src/main/java/rosecleat/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line, and the process round a node. */
+package rosecleat.cli;
--- /dev/null
+++ b/src/main/java/rosecleat/index/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to the index that all nodes share. */
+package rosecleat.index;
--- /dev/null
+++ b/src/main/java/rosecleat/log/package-info.java
@@ -0,0 +1,2 @@
+/** The program's logger. */
+package rosecleat.log;
--- /dev/null
+++ b/src/main/java/rosecleat/roster/package-info.java
@@ -0,0 +1,2 @@
+/** Reports to the list of nodes. */
+package rosecleat.roster;
--- /dev/null
+++ b/src/main/java/rosecleat/runtime/NoRuntime.java
@@ -0,0 +1,28 @@
+package rosecleat.runtime;
+
+import rosecleat.core.Ask;
+import rosecleat.core.Core;
+import rosecleat.core.Runner;
+import rosecleat.net.EventLoop;
+
+/** Stands where a node has no runtime, only backends: nothing is reached, so nothing runs. */
+public final class NoRuntime implements Runner {
+  private final EventLoop loop;
+  private final Core core;
+
+  /** A runner for a core that has none. */
+  public NoRuntime(EventLoop loop, Core core) {
+    this.loop = loop;
+    this.core = core;
+  }
+
+  @Override public void start(Ask ask, long dueUs) {
+    loop.execute(() -> core.ended(ask.id(), End.UNREACHED, null, 0));
+  }
+
+  @Override public void stop(String id) { }
+
+  @Override public void give(String id, byte[] reply) { }
+
+  @Override public void omit(String id, long notice) { }
+}
--- a/src/test/java/rosecleat/cli/MainTest.java
+++ b/src/test/java/rosecleat/cli/MainTest.java
@@ -46,6 +46,7 @@
     int round = 0;
     for (String bad : new String[] {"", "[]", "{", good.replace("127.0.0.1:7001", "here"),
         good.replace("\"seed\": \"1f\"", "\"seed\": \"zz\""), good.replace("\"stop_ms\": 4000", "\"stop_ms\": 0"),
+        good.replace("\"runtime\"", "\"ruin\""),
         good.replace("\"grades\"", "\"grapes\""), good.replace("\"token\"", "\"tokens\"")}) {
       Path file = Files.writeString(folder.resolve("bad" + ++round), bad);
       refused(Map.of("PROXY_CONFIG", file.toString()), "check");
--- a/src/test/java/rosecleat/cli/Rig.java
+++ b/src/test/java/rosecleat/cli/Rig.java
@@ -64,11 +64,16 @@
   final int uwsgiPort;
 
   Rig(int workMs, int stopMs, int graceMs, Path folder) throws IOException {
+    this(workMs, stopMs, graceMs, folder, true);
+  }
+
+  /** A node that has a runtime, or (false) only its backends. */
+  Rig(int workMs, int stopMs, int graceMs, Path folder, boolean hasRuntime) throws IOException {
     runtime = new StandInRuntime(workMs);
     Files.writeString(folder.resolve("cards.yaml"), CARDS);
     Files.writeString(folder.resolve("loads.yaml"), LOADS);
     Files.writeString(folder.resolve("broker.yaml"), BROKER.formatted(0, backend.port()));
-    NodeConfig config = TestSite.config(runtime.port(), 0, 0, stopMs, graceMs);
+    NodeConfig config = TestSite.config(hasRuntime ? runtime.port() : 0, 0, 0, stopMs, graceMs);
     node = new Node(config, BrokerConfig.read(folder.resolve("broker.yaml"), config.start()), log);
     node.start();
     uwsgiPort = node.uwsgiPort();
--- a/src/test/java/rosecleat/cli/UwsgiFrontTest.java
+++ b/src/test/java/rosecleat/cli/UwsgiFrontTest.java
@@ -181,6 +181,19 @@
     }
   }
 
+  @Test void aBrokerNeedsNoRuntime() throws IOException {
+    rig.close();
+    rig = new Rig(20, 3_000, 1_500, folder, false);
+    for (int i = 0; i < 30; i++) {
+      assertEquals(200, get("/files/" + i).status());
+    }
+    assertEquals(30, rig.backend.requests.get());
+    Reply none = get("/cards/7/balance");
+    assertEquals(502, none.status());
+    assertEquals("never-ran", none.header("X-Progress"));
+    assertEquals(0, rig.runtime.commands.size());
+  }
+
   @Test void aCallerThatClosesHasGone() throws IOException {
     rig.backend.mood = Mood.SLOW;
     try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
