Move the links on SIGHUP, and let idle connections make room at the limit

Lines at fault: Serving.start (no handler), Listener.accept (at `most` it waited for a close that never came), the final addresses in RuntimeLink, IndexClient and RosterClient. Ruled out: memory (42 of 128 MB) and CPU (0.49 of a core in the worst second).

Change: SIGHUP re-reads the file off the loop, keeps the old one if the new can't be used, and moves the links; the old runtime link is read until the new one stands. The first redial of the runtime does not wait. At its limit the listener closes the longest unused connection with nothing open, silent ones first. Connections that finish no message within 2 s are closed.

--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -88,7 +88,7 @@
       switch (word) {
         case "serve" -> {
           NodeConfig config = NodeConfig.fromEnvironment(env);
-          return Serving.start(config, serve.broker(config), serve.countersEvery);
+          return Serving.start(config, () -> NodeConfig.fromEnvironment(env), serve.broker(config), serve.countersEvery);
         }
         case "benchlink" -> {
           System.setOut(System.err);
--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -44,6 +44,7 @@
   private final Core core;
   private final RuntimeLink runtime;
   private final RosterClient roster;
+  private final IndexClient index;
   private final RespFront resp;
   private final UwsgiFront uwsgi;
   private long endUs = Long.MAX_VALUE;
@@ -58,7 +59,7 @@
       SettingsReader.Start start = broker == null ? config.start() : broker.start();
       PolicyApi.Settings settings = start.settings();
       List<Core.Klass> classes = classes(start);
-      IndexClient index = new IndexClient(loop, config.index(), clock, counters, log);
+      index = new IndexClient(loop, config.index(), clock, counters, log);
       Core.Rules rules = new Core.Rules(settings.cores(), classes, settings.slackUs(), settings.graceUs(),
           settings.idleUs(), RESULT_BYTES);
       core = new Core(rules, new Decisions(settings, start.gauges(), config.seed()), index, clock, counters, log);
@@ -97,9 +98,7 @@
       } else {
         runtime.connect();
       }
-      if (config.roster() != null) {
-        roster.begin();
-      }
+      roster.begin();
       beat();
     });
     log.info(config.name() + " listens on " + config.listen());
@@ -147,13 +146,24 @@
       endUs = clock.getAsLong() + config.stopUs();
       whenLeft = done;
       log.info("told to leave, " + core.inHand() + " in hand");
-      if (config.roster() != null) {
-        roster.leave();
-      }
+      roster.leave();
       core.drain(config.stopUs() - EARLY_US);
     });
   }
 
+  /** New addresses of the runtime, the index and the roster; all else of a configuration needs a restart. */
+  void reload(NodeConfig fresh) {
+    loop.execute(() -> {
+      counters.add("reloads");
+      log.info("reloaded: runtime " + fresh.runtime() + ", index " + fresh.index() + ", roster " + fresh.roster());
+      if (runtime != null) {
+        runtime.moveTo(fresh.runtime());
+      }
+      index.moveTo(fresh.index());
+      roster.moveTo(fresh.roster());
+    });
+  }
+
   private void beat() {
     long next = core.tick();
     boolean draining = endUs != Long.MAX_VALUE;
--- /dev/null
+++ b/src/main/java/rosecleat/cli/Reload.java
@@ -0,0 +1,66 @@
+package rosecleat.cli;
+
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import rosecleat.config.ConfigException;
+import rosecleat.config.NodeConfig;
+import rosecleat.log.Log;
+
+/**
+ * SIGHUP: the configuration file is read anew, and the addresses in it take effect. Without a handler the virtual
+ * machine ends on this signal.
+ */
+final class Reload {
+  private final Supplier<NodeConfig> reader;
+  private final Log log;
+  private NodeConfig inForce;
+  private Consumer<NodeConfig> taker;
+  private boolean early;
+
+  /** Reloads by a reader that throws {@link ConfigException} for a file that can't be used. */
+  Reload(NodeConfig inForce, Supplier<NodeConfig> reader, Log log) {
+    this.inForce = inForce;
+    this.reader = reader;
+    this.log = log;
+  }
+
+  /** Takes the signal from now on; one that comes before {@link #tell} is made up for there. */
+  @SuppressWarnings("sunapi") // the one way to a handler for signals; the module jdk.unsupported exports it
+  void install() {
+    sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> reload());
+  }
+
+  /** Names who is told of a new configuration. */
+  synchronized void tell(Consumer<NodeConfig> to) {
+    taker = to;
+    if (early) {
+      reload();
+    }
+  }
+
+  /**
+   * Reads the file again, on the signal's own thread and one signal after the other, so that the last file read
+   * is the one in force. A file that can't be used changes nothing.
+   */
+  synchronized void reload() {
+    if (taker == null) {
+      early = true;
+      return;
+    }
+    NodeConfig fresh;
+    try {
+      fresh = reader.get();
+    } catch (ConfigException e) {
+      log.warn("told to reload, but the old configuration stays: " + e.getMessage());
+      return;
+    }
+    if (!fresh.name().equals(inForce.name()) || !fresh.listen().equals(inForce.listen())
+        || (fresh.runtime() == null) != (inForce.runtime() == null)) {
+      log.warn("told to reload, but the old configuration stays: its name, where it listens and whether it has"
+          + " a runtime need a restart");
+      return;
+    }
+    inForce = fresh;
+    taker.accept(fresh);
+  }
+}
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.NodeConfig;
 import rosecleat.log.Log;
@@ -26,14 +27,21 @@
     this.log = log;
   }
 
-  /** Starts a node, which logs its counters so often (seconds, 0 for never); it goes on after this returns. */
-  static int start(NodeConfig config, BrokerConfig broker, int countersEvery) throws IOException {
+  /**
+   * Starts a node, which logs its counters so often (seconds, 0 for never) and reads its configuration anew on
+   * SIGHUP; it goes on after this returns.
+   */
+  static int start(NodeConfig config, Supplier<NodeConfig> reader, BrokerConfig broker, int countersEvery)
+      throws IOException {
     Log log = new Log(System.err);
+    Reload reload = new Reload(config, reader, log);
+    reload.install(); // before it listens: from then on a signal may come
     Node node = new Node(config, broker, log);
     Serving serving = new Serving(config, node, log);
     new Thread(serving::stay, "stay").start();
     Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
     node.start();
+    reload.tell(node::reload);
     if (countersEvery > 0) {
       node.logCounters(countersEvery * 1_000_000L);
     }
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -30,6 +30,8 @@
   private static final Connection.Limits LIMITS = new Connection.Limits(8 << 10, 64 << 10, 256 << 10, 5_000_000);
   /** A balancer that was told to close and has nothing open is given so long (us). */
   private static final long BYE_US = 1_000_000;
+  /** A connection's first message, and the rest of one that has begun, are awaited so long (us). */
+  private static final long PATIENCE_US = 2_000_000;
 
   private final Core core;
   private final Counters counters;
@@ -77,6 +79,7 @@
         peer.bye(now);
       }
       peer.closeIfLeft(now);
+      peer.closeIfSlow(now);
     }
   }
 
@@ -94,6 +97,9 @@
     private final Tags tags = new Tags();
     private final Map<Long, Core.Handle> open = new HashMap<>();
     private long usedUs = clock.getAsLong();
+    private final long bornUs = clock.getAsLong();
+    private boolean spoke;
+    private long partSinceUs;
     private boolean checks;
     private long leavingUs;
 
@@ -106,8 +112,11 @@
       try {
         for (List<byte[]> words = parser.next(bytes); words != null && !connection.isClosed();
             words = parser.next(bytes)) {
+          spoke = true;
+          partSinceUs = 0;
           message(words);
         }
+        partSinceUs = !parser.begun() ? 0 : partSinceUs == 0 ? usedUs : partSinceUs;
       } catch (RespParser.Malformed e) { // guards the rest: one stream that makes no sense ends alone
         counters.add("resp.malformed");
         log.warn("a balancer's connection is closed: " + e.getMessage());
@@ -115,9 +124,14 @@
       }
     }
 
+    @Override public Connection.Use use() {
+      return !open.isEmpty() || parser.begun() ? Connection.Use.BUSY
+          : spoke ? Connection.Use.IDLE : Connection.Use.SILENT;
+    }
+
     @Override public void closed(Fault fault, boolean atEnd) {
       peers.remove(this);
-      listener.released();
+      listener.released(connection);
       for (Core.Handle handle : new ArrayList<>(open.values())) {
         handle.gone(); // nobody is left to hear the answer
       }
@@ -187,6 +201,14 @@
           new Fault(Progress.NOT_SENT, why), Answer.Cause.CALLER), core.credit()));
     }
 
+    /** Guards places and memory against peers that say nothing, or never finish what they began to say. */
+    private void closeIfSlow(long now) {
+      if (!spoke && now - bornUs > PATIENCE_US || partSinceUs > 0 && now - partSinceUs > PATIENCE_US) {
+        counters.add("resp.slow");
+        connection.close("no whole message came in time");
+      }
+    }
+
     private void bye(long now) {
       if (leavingUs == 0) {
         leavingUs = now;
--- a/src/main/java/rosecleat/front/resp/RespParser.java
+++ b/src/main/java/rosecleat/front/resp/RespParser.java
@@ -43,6 +43,11 @@
     this.longest = longest;
   }
 
+  /** Whether part of an array has come. */
+  boolean begun() {
+    return next != Next.ARRAY || head.length() > 0;
+  }
+
   /** The next array, or null when the bytes are used up. */
   List<byte[]> next(ByteBuffer in) throws Malformed {
     while (in.hasRemaining()) {
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -151,11 +151,15 @@
       }
     }
 
+    @Override public Connection.Use use() {
+      return parser.begun() || taken ? Connection.Use.BUSY : Connection.Use.SILENT;
+    }
+
     @Override public void closed(Fault fault, boolean atEnd) {
       callers.remove(this);
       patience.cancel(false);
       replying -= booked;
-      listener.released();
+      listener.released(connection);
       if (fault.progress() != Progress.SENT) {
         counters.add("uwsgi.cut"); // with part of its reply still here
       }
--- a/src/main/java/rosecleat/index/IndexClient.java
+++ b/src/main/java/rosecleat/index/IndexClient.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.LongSupplier;
@@ -44,13 +45,13 @@
   }
 
   private final EventLoop loop;
-  private final InetSocketAddress address;
   private final LongSupplier clock;
   private final Log log;
   private final Counters counters;
   private final Map<String, Call> calls = new HashMap<>();
   /** Given up on this connection, the latest of them: a reply may still come. */
   private final Set<String> given = new LinkedHashSet<>();
+  private InetSocketAddress address;
   private Core core;
   private Connection connection;
   private boolean dialling;
@@ -70,6 +71,14 @@
     core = to;
   }
 
+  /** The index is elsewhere from now on; calls that are out end where they were made. */
+  public void moveTo(InetSocketAddress to) {
+    if (!Objects.equals(to, address)) {
+      address = to;
+      connection = null;
+    }
+  }
+
   @Override public void call(String id, long untilUs, byte[] body) {
     Call call = new Call(untilUs, body);
     calls.put(id, call);
@@ -132,14 +141,24 @@
 
   private void dial() {
     dialling = true;
-    Connection.dial(loop, address, DIAL_US, Connection.Limits.SMALL, new Connection.Dialled() {
+    InetSocketAddress to = address;
+    Connection.dial(loop, to, DIAL_US, Connection.Limits.SMALL, new Connection.Dialled() {
       @Override public void connected(Connection fresh) {
         dialling = false;
+        if (!to.equals(address) && address != null) { // it has moved meanwhile
+          fresh.close("the index has moved");
+          dial();
+          return;
+        }
         adopt(fresh);
       }
 
       @Override public void failed(Fault fault) {
         dialling = false;
+        if (!to.equals(address) && address != null) {
+          dial();
+          return;
+        }
         log.warn("the index is not reached: " + fault.why());
         each(null, End.UNREACHED);
       }
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -19,8 +19,23 @@
  * started.
  */
 public final class Connection {
+  /** What is lost when a connection is closed. */
+  public enum Use {
+    /** Nothing: not one whole message has come. */
+    SILENT,
+    /** Nothing: all that came has been answered. */
+    IDLE,
+    /** Something: a message is being read or an answer is owed. */
+    BUSY
+  }
+
   /** What a connection tells its owner, on the loop. */
   public interface Owner {
+    /** What closing it would cost; asked where room for others is short. */
+    default Use use() {
+      return Use.BUSY;
+    }
+
     /** Bytes have come; all of them are to be taken. */
     void received(ByteBuffer bytes);
 
@@ -51,6 +66,7 @@
   private boolean closing;
   private boolean closed;
   private long written;
+  private long touchedNs = System.nanoTime();
   private Future<?> stall;
 
   Connection(EventLoop loop, AsynchronousSocketChannel channel, Limits limits) {
@@ -129,6 +145,16 @@
     return closed || closing;
   }
 
+  /** What is lost when it is closed now. */
+  Use use() {
+    return owner == null || isClosed() || !queue.isEmpty() ? Use.BUSY : owner.use();
+  }
+
+  /** When bytes last came or went, by the system's monotonic clock. */
+  long touchedNs() {
+    return touchedNs;
+  }
+
   /** Queues bytes; false, and the connection closed, where the queue has no room for them. */
   public boolean write(ByteBuffer bytes) {
     if (isClosed()) {
@@ -191,6 +217,7 @@
     if (closed) {
       return;
     }
+    touchedNs = System.nanoTime();
     if (count < 0) {
       end(new Fault(Progress.SENT, "the peer closed"), true);
       return;
@@ -248,6 +275,7 @@
     }
     queued -= count;
     written += count;
+    touchedNs = System.nanoTime();
     ByteBuffer first = queue.element();
     first.position(first.position() + count);
     if (!first.hasRemaining()) {
--- a/src/main/java/rosecleat/net/Listener.java
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -5,6 +5,8 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 import rosecleat.log.Log;
 
@@ -12,6 +14,8 @@
 public final class Listener {
   private static final int BACKLOG = 1024;
   private static final long RETRY_US = 20_000;
+  /** A connection that has said nothing for so long is the first to go where places are short. */
+  private static final long SILENT_NS = 250_000_000;
 
   private final EventLoop loop;
   private final AsynchronousServerSocketChannel server;
@@ -19,12 +23,15 @@
   private final Consumer<Connection> taker;
   private final Log log;
   private final int most;
-  private int open;
+  private final Set<Connection> open = new LinkedHashSet<>();
   private boolean waiting;
   private boolean closed;
   private long lastNs = System.nanoTime();
 
-  /** Listens at an address; each connection is handed over on the loop. At {@code most} open it accepts no more. */
+  /**
+   * Listens at an address; each connection is handed over on the loop. At {@code most} open it makes room by closing
+   * what is of no use, and accepts no more where nothing is.
+   */
   public Listener(EventLoop loop, InetSocketAddress at, int most, Connection.Limits limits,
       Consumer<Connection> taker) throws IOException {
     this.loop = loop;
@@ -53,9 +60,9 @@
   }
 
   /** A connection taken here has ended: its place is free again. */
-  public void released() {
-    open--;
-    if (waiting && open < most) {
+  public void released(Connection ended) {
+    open.remove(ended);
+    if (waiting && open.size() < most) {
       waiting = false;
       accept();
     }
@@ -77,9 +84,11 @@
     if (closed) {
       return;
     }
-    if (open >= most) { // guards the limit on descriptors: the rest wait unaccepted
+    if (open.size() >= most) { // guards the limit on descriptors: the rest wait unaccepted
       waiting = true;
-      log.warn(open + " connections are open, no more are accepted");
+      if (!makeRoom()) {
+        log.warn(open.size() + " connections are open and in use, no more are accepted");
+      }
       return;
     }
     try {
@@ -89,15 +98,39 @@
     }
   }
 
+  /**
+   * Guards callers against being shut out by connections that nobody uses: closes the longest unused one with nothing
+   * open on it, first of those that have kept silent for a while. Its place is free once it has ended.
+   */
+  private boolean makeRoom() {
+    long now = System.nanoTime();
+    Connection victim = null;
+    boolean silent = false;
+    for (Connection each : open) {
+      Connection.Use use = each.use();
+      boolean mute = use == Connection.Use.SILENT && now - each.touchedNs() > SILENT_NS;
+      if (use != Connection.Use.BUSY && (victim == null || mute && !silent
+          || mute == silent && each.touchedNs() < victim.touchedNs())) {
+        victim = each;
+        silent = mute;
+      }
+    }
+    if (victim != null) {
+      victim.close("its place is needed");
+    }
+    return victim != null;
+  }
+
   private void accepted(AsynchronousSocketChannel channel) {
-    open++;
     lastNs = System.nanoTime();
+    Connection connection = new Connection(loop, channel, limits);
+    open.add(connection);
     try {
-      taker.accept(new Connection(loop, channel, limits));
+      taker.accept(connection);
     } catch (RuntimeException e) {
       log.warn("a connection could not be taken: " + e);
       Connection.closeQuietly(channel);
-      open--;
+      open.remove(connection);
     }
     accept();
   }
--- a/src/main/java/rosecleat/roster/RosterClient.java
+++ b/src/main/java/rosecleat/roster/RosterClient.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.concurrent.Future;
 import rosecleat.core.Counters;
 import rosecleat.core.Fault;
@@ -16,13 +17,15 @@
 public final class RosterClient {
   private static final long EACH_US = 1_000_000;
   private static final long REPLY_US = 900_000;
+  /** How long the notice to leave waits for the answer to an earlier report (us). */
+  private static final long HURRY_US = 100_000;
   private static final int LONGEST = 16 << 10;
 
   private final EventLoop loop;
-  private final InetSocketAddress address;
   private final String name;
   private final Counters counters;
   private final Log log;
+  private InetSocketAddress address;
   private Connection connection;
   private LineBuffer lines;
   private boolean dialling;
@@ -40,7 +43,7 @@
     boolean closes;
   }
 
-  /** A client for the node of this name. */
+  /** A client for the node of this name; it reports nothing while the address is null. */
   public RosterClient(EventLoop loop, InetSocketAddress address, String name, Counters counters, Log log) {
     this.loop = loop;
     this.address = address;
@@ -61,28 +64,68 @@
     report();
   }
 
+  /** The roster is elsewhere from now on; the old one is told nothing more. */
+  public void moveTo(InetSocketAddress to) {
+    if (Objects.equals(to, address)) {
+      return;
+    }
+    address = to;
+    Connection old = connection;
+    connection = null;
+    if (old != null) {
+      old.closeWhenWritten();
+    }
+    if (waiting) {
+      done();
+    }
+    report(); // within the second after which the list would drop this node
+  }
+
   private void report() {
+    if (address == null) {
+      return;
+    }
     if (waiting) {
-      again = !on; // the notice to leave must not wait a second for its turn
+      if (!on && !again) { // the notice to leave must not wait a second for its turn
+        again = true;
+        Connection used = connection;
+        loop.after(HURRY_US, () -> {
+          if (again && connection == used && used != null) {
+            used.close("the roster does not answer, and the notice to leave waits");
+          }
+        });
+      }
       return;
     }
     if (connection != null && !connection.isClosed()) {
       send();
     } else if (!dialling) {
-      dialling = true;
-      Connection.dial(loop, address, REPLY_US, Connection.Limits.SMALL, new Connection.Dialled() {
-        @Override public void connected(Connection fresh) {
-          dialling = false;
-          adopt(fresh);
-          send();
+      dial(address);
+    }
+  }
+
+  private void dial(InetSocketAddress to) {
+    dialling = true;
+    Connection.dial(loop, to, REPLY_US, Connection.Limits.SMALL, new Connection.Dialled() {
+      @Override public void connected(Connection fresh) {
+        dialling = false;
+        if (!to.equals(address)) { // it has moved meanwhile
+          fresh.close("the roster has moved");
+          report();
+          return;
         }
+        adopt(fresh);
+        send();
+      }
 
-        @Override public void failed(Fault fault) {
-          dialling = false;
-          counters.add("roster.failed");
+      @Override public void failed(Fault fault) {
+        dialling = false;
+        counters.add("roster.failed");
+        if (!to.equals(address)) {
+          report();
         }
-      });
-    }
+      }
+    });
   }
 
   private void adopt(Connection fresh) {
@@ -90,6 +133,9 @@
     lines = new LineBuffer(LONGEST);
     fresh.start(new Connection.Owner() {
       @Override public void received(ByteBuffer bytes) {
+        if (connection != fresh) {
+          return; // an answer to a report that nobody waits for any more
+        }
         if (!lines.add(bytes) || lines.tooLong()) {
           fresh.close("the roster sent too much");
           return;
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -34,7 +34,6 @@
   private static final Connection.Limits LIMITS = new Connection.Limits(16 << 10, 1 << 20, 4 << 20, 10_000_000);
 
   private final EventLoop loop;
-  private final InetSocketAddress address;
   private final Core core;
   private final LongSupplier clock;
   private final Counters counters;
@@ -43,7 +42,9 @@
   /** The last command of each run that the runtime has shown no effect of, and that may be sent again. */
   private final Map<String, String> doubtful = new LinkedHashMap<>();
   private final Set<String> repeated = new HashSet<>();
+  private InetSocketAddress address;
   private Connection link;
+  private boolean dialling;
   private boolean ready;
   private long lastNotice;
   private long gaugesAskedUs;
@@ -61,24 +62,56 @@
 
   /** Opens the link, and opens it again whenever it is lost. */
   public void connect() {
-    Connection.dial(loop, address, DIAL_US, LIMITS, new Connection.Dialled() {
+    if (dialling) {
+      return; // one link at a time, however often it is lost or moved
+    }
+    dialling = true;
+    InetSocketAddress to = address;
+    Connection.dial(loop, to, DIAL_US, LIMITS, new Connection.Dialled() {
       @Override public void connected(Connection connection) {
-        adopt(connection);
+        dialling = false;
+        if (to.equals(address)) {
+          adopt(connection);
+        } else { // it has moved meanwhile
+          connection.close("the runtime has moved");
+          connect();
+        }
       }
 
       @Override public void failed(Fault fault) {
-        loop.after(RETRY_US, RuntimeLink.this::connect);
+        dialling = false;
+        counters.add("runtime.unreached");
+        loop.after(to.equals(address) ? RETRY_US : 0, RuntimeLink.this::connect);
       }
     });
   }
 
+  /**
+   * The runtime is reached elsewhere from now on. The link in use gets no further command, but its notices are read
+   * until the new one stands; the runs go on, and the new link tells all that the old one did not.
+   */
+  public void moveTo(InetSocketAddress to) {
+    if (!to.equals(address)) {
+      address = to;
+      ready = false;
+      connect();
+    }
+  }
+
   private void adopt(Connection connection) {
+    Connection old = link;
     link = connection;
+    if (old != null) {
+      old.closeWhenWritten(); // what it still brings comes again on this one
+    }
     ready = false;
     gaugesOut = false;
     LineBuffer lines = new LineBuffer(LONGEST);
     connection.start(new Connection.Owner() {
       @Override public void received(ByteBuffer bytes) {
+        if (link != connection) {
+          return; // replaced by a newer link
+        }
         if (!lines.add(bytes) || lines.tooLong()) {
           connection.close("the runtime sent a line that is too long");
           return;
@@ -89,10 +122,19 @@
       }
 
       @Override public void closed(Fault fault, boolean atEnd) {
+        if (link != connection) {
+          return;
+        }
         log.warn("the link to the runtime ended: " + fault.why());
+        boolean stood = ready;
         link = null;
         ready = false;
-        loop.after(RETRY_US, RuntimeLink.this::connect);
+        // at once, as the runtime goes on meanwhile; a link that never stood must not be made again in a whirl
+        loop.after(stood ? 0 : RETRY_US, () -> {
+          if (link == null) {
+            connect();
+          }
+        });
       }
     });
     write("{\"type\":\"sync\",\"n\":" + lastNotice + "}");
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -106,6 +106,60 @@
     assertTrue(runtime.commands.contains("sync "), "no sync");
   }
 
+  @Test void runsAndNumbersCarryOnWhenTheRuntimeMoves() throws IOException {
+    startReady();
+    for (int round = 0; round < 3; round++) { // reloads in a row, each with a run in hand
+      send("balance-check", null);
+      int begun = round + 1;
+      await(() -> runtime.starts.size() == begun);
+      runtime.moveAway();
+      reload();
+      assertEquals(StandInRuntime.result("body " + tag), client.answer().get(3));
+    }
+    assertEquals(3, count("runs.ok"));
+    assertEquals(3, runtime.starts.size());
+  }
+
+  @Test void aReloadInTheMiddleOfADialGoesToTheLastAddress() throws IOException {
+    startReady();
+    runtime.moveAway();
+    node.reload(TestSite.config(1, 1, 1, 2_000, 500)); // nobody listens there
+    reload();
+    reload();
+    assertEquals("OK", answer("card-refresh").get(1));
+  }
+
+  @Test void theIndexAndTheRosterMoveAndOldCallsMayEnd() throws IOException {
+    startReady();
+    index.answers.add("wait");
+    send("card-refresh", null);
+    await(() -> index.lines.size() == 1);
+    index.moveAway();
+    roster.moveAway();
+    long reports = roster.reports.size();
+    reload();
+    await(() -> roster.reports.size() > reports);
+    index.release.countDown();
+    assertEquals("OK", client.answer().get(1));
+    assertEquals(1, count("calls.hit"));
+    assertEquals("OK", answer("card-refresh").get(1));
+    assertEquals(2, count("calls.hit"));
+  }
+
+  @Test void aReloadInADrainCarriesOn() throws IOException {
+    startReady();
+    send("balance-check", null);
+    await(() -> runtime.starts.size() == 1);
+    node.leave(() -> { });
+    runtime.moveAway();
+    reload();
+    assertEquals(StandInRuntime.result("body 1"), client.answer().get(3));
+  }
+
+  private void reload() {
+    node.reload(TestSite.config(runtime.port(), index.port(), roster.port(), 2_000, 500));
+  }
+
   @Test void aCommandThatTheBrokenLinkSwallowedIsSentAgain() throws IOException {
     startReady();
     runtime.swallow = 1;
--- a/src/test/java/rosecleat/standin/Server.java
+++ b/src/test/java/rosecleat/standin/Server.java
@@ -10,18 +10,24 @@
 /** A blocking server for stand-ins: a thread for each connection. */
 public abstract class Server implements AutoCloseable {
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-  private final ServerSocket server;
+  private volatile ServerSocket server;
 
   protected Server() {
+    listen();
+  }
+
+  private void listen() {
+    ServerSocket fresh;
     try {
-      server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+      fresh = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     } catch (IOException e) {
       throw new java.io.UncheckedIOException(e);
     }
+    server = fresh;
     thread(() -> {
-      while (!server.isClosed()) {
+      while (!fresh.isClosed()) {
         try {
-          Socket socket = server.accept();
+          Socket socket = fresh.accept();
           socket.setTcpNoDelay(true);
           open.add(socket);
           thread(() -> session(socket));
@@ -48,6 +54,16 @@
     return server.getLocalPort();
   }
 
+  /** Listens at another port from now on; connections made at the old one stay. */
+  public void moveAway() {
+    try {
+      server.close();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+    listen();
+  }
+
   /** Cuts every connection, and goes on listening. */
   public void cut() {
     for (Socket socket : open) {
--- a/src/test/java/rosecleat/standin/StandInIndex.java
+++ b/src/test/java/rosecleat/standin/StandInIndex.java
@@ -6,14 +6,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 
 /** The shared index as PROTOCOL describes it; says what the test tells it to. */
 public final class StandInIndex extends Server {
   /** The lines that came. */
   public final List<String> lines = new CopyOnWriteArrayList<>();
-  /** The next answers, first to last: a word, "cut" to break the connection, "" for silence; then HIT. */
+  /** The next answers, first to last: a word, "cut" to break the connection, "" for silence, "wait"; then HIT. */
   public final List<String> answers = new CopyOnWriteArrayList<>();
 
+  /** Lets go the answers that wait. */
+  public final CountDownLatch release = new CountDownLatch(1);
+
   @Override protected void serve(Socket socket) throws IOException {
     DataInputStream in = new DataInputStream(socket.getInputStream());
     for (String line = line(in); !line.isEmpty(); line = line(in)) {
@@ -28,6 +32,14 @@
       if (answer.equals("cut")) {
         return;
       }
+      if (answer.equals("wait")) {
+        try {
+          release.await();
+        } catch (InterruptedException e) {
+          return;
+        }
+        answer = "HIT";
+      }
       String reply = "reply to " + new String(body, 0, body.length - 2, StandardCharsets.UTF_8);
       String text = words[1] + " " + answer + (answer.equals("HIT") ? " " + reply.length() + "\r\n" + reply : "");
       if (!answer.isEmpty()) {
