--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -50,7 +50,7 @@
   private static final double SWAMPED = 0.7; // of the cores; reading and connections that take more; ours
   private static final double IDLE_UP = 1.5; // factor a step of the limit; rise of the idle span; ours
   private static final double IDLE_DOWN = 0.98; // factor a step of the limit; fall of the idle span; ours
-  private static final double CREDIT = 8; // limits; what all callers together may have here; ours
+  private static final double CREDIT = 16; // limits; what all callers together may have here; ours
   private static final double SELDOM = 0.08; // refusal chance up to which a first try may go on; ours
   private static final double QUICK = 0.1; // of the expected run; so short a call is always made; ours
   private static final double PATIENCE = 8; // usual lengths of a call after which it is given up; ours
@@ -937,8 +937,8 @@
   }
 
   /**
-   * The credit is for several limits: callers that have none left turn requests away blindly, the hold picks by
-   * worth. Guards the tenants inside their shares; harm: each request too many costs a read.
+   * The credit is for many limits: callers that have none left turn requests away blindly, the hold picks
+   * by worth. Guards the tenants inside their shares; harm: each request too many costs a read.
    */
   private void signal() {
     boolean shut = shut();
@@ -950,7 +950,8 @@
       case OFF -> Double.NaN;
       case LEVEL -> shut ? 1 : level;
       case CREDIT -> shut ? 0
-          : (1 - refusal) * Math.max(refusal > SELDOM ? 0 : 1, CREDIT * limit / Math.max(1, s.callers()));
+          : (1 - refusal)
+              * Math.max(refusal > SELDOM ? 0 : 1, CREDIT * limit / Math.max(1, s.callers()));
       case WEIGHT -> shut ? 0 : slowness() > SLOW ? 1 / slowness() : 1;
     };
     if (s.say() != Say.OFF && !(Math.abs(value - said) < 0.01)) {
