Make index calls over a pool, one on a connection, and begin no run that no longer fits

One spoilt reply closed the one index connection with all calls on it; one that never came left it in use. Tests: spoilt replies, copies, strangers, idle and late connections of the index.

--- a/src/main/java/rosecleat/index/IndexClient.java
+++ b/src/main/java/rosecleat/index/IndexClient.java
@@ -1,15 +1,11 @@
 package rosecleat.index;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.function.LongSupplier;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
@@ -18,44 +14,35 @@
 import rosecleat.log.Log;
 import rosecleat.net.Connection;
 import rosecleat.net.EventLoop;
-import rosecleat.net.LineBuffer;
-import rosecleat.net.Words;
 
-/** Calls to the shared index over one connection, opened when needed. Each outcome is what is proven. */
-public final class IndexClient implements Ledger {
+/**
+ * Calls to the shared index over a small pool of connections, one call on each at a time. Each outcome is what is
+ * proven: a call that was not sent never ran, one whose reply was spoilt or cut off may have.
+ */
+public final class IndexClient implements Ledger, Line.Keeper {
   private static final long DIAL_US = 1_000_000;
   /** So much after its time a call that got no reply is given up here (us). */
   private static final long LATE_US = 30_000;
-  /** The index closes what is idle for 10 s; a call that crosses that would prove nothing, so not so late (us). */
-  private static final long STALE_US = 8_000_000;
-  private static final int LONGEST = 1 << 20;
-  private static final int MOST_GIVEN = 1_000;
-
-  /** One call that is out. {@code via} is the connection it was written to, null while it was not. */
-  private static final class Call {
-    final long untilUs;
-    final byte[] body;
-    Connection via;
-    Future<?> timer;
-
-    Call(long untilUs, byte[] body) {
-      this.untilUs = untilUs;
-      this.body = body;
-    }
-  }
+  /**
+   * The index closes what is idle, at times early, or forgets it and resets it at the next call. From outside that
+   * reset is no other than one in place of a reply, so connections are not used again after so short a time (us).
+   */
+  private static final long STALE_US = 250_000;
+  /** Connections at the most; further calls wait for one. Part of the descriptors a node keeps for itself. */
+  public static final int MOST_LINES = 32;
 
   private final EventLoop loop;
   private final LongSupplier clock;
   private final Log log;
   private final Counters counters;
   private final Map<String, Call> calls = new HashMap<>();
-  /** Given up on this connection, the latest of them: a reply may still come. */
-  private final Set<String> given = new LinkedHashSet<>();
+  private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+  /** Connections with no call, the last used first. */
+  private final ArrayDeque<Line> idle = new ArrayDeque<>();
   private InetSocketAddress address;
   private Core core;
-  private Connection connection;
-  private boolean dialling;
-  private long usedUs;
+  private int lines;
+  private int dialling;
 
   /** A client of the index at an address; null where there is none. */
   public IndexClient(EventLoop loop, InetSocketAddress address, LongSupplier clock, Counters counters, Log log) {
@@ -75,205 +62,162 @@
   public void moveTo(InetSocketAddress to) {
     if (!Objects.equals(to, address)) {
       address = to;
-      connection = null;
+      while (!idle.isEmpty()) {
+        retire(idle.remove());
+      }
     }
   }
 
   @Override public void call(String id, long untilUs, byte[] body) {
-    Call call = new Call(untilUs, body);
+    Call call = new Call(id, untilUs, body);
     calls.put(id, call);
-    if (address == null || given.contains(id)) {
-      // guards against taking the reply to a call that was given up for the reply to this one
-      loop.execute(() -> over(id, call, End.UNREACHED, null));
+    if (address == null) {
+      loop.execute(() -> over(call, End.UNREACHED, null));
       return;
     }
-    call.timer = loop.after(untilUs + LATE_US - clock.getAsLong(), () -> late(id, call));
-    if (connection != null && calls.size() == 1 && clock.getAsLong() - usedUs > STALE_US) {
-      connection.close("idle");
-      connection = null;
-    }
-    if (connection != null && !connection.isClosed()) {
-      send(id, call);
-    } else if (!dialling) {
+    call.timer = loop.after(untilUs + LATE_US - clock.getAsLong(), () -> late(call));
+    Line line = unused(id);
+    if (line != null) {
+      send(line, call);
+    } else {
+      waiting.add(call);
       dial();
     }
   }
 
+  /** The connection used last, of those that are fresh and have not carried this request; null for none. */
+  private Line unused(String id) {
+    long oldest = clock.getAsLong() - STALE_US;
+    while (!idle.isEmpty() && idle.getLast().idleSinceUs() < oldest) {
+      retire(idle.removeLast());
+    }
+    for (Iterator<Line> each = idle.iterator(); each.hasNext();) {
+      Line line = each.next();
+      if (!line.carried(id)) {
+        each.remove();
+        return line;
+      }
+    }
+    return null;
+  }
+
+  private void send(Line line, Call call) {
+    call.line = line;
+    counters.add("index.calls");
+    line.send(call, clock.getAsLong());
+  }
+
   @Override public void giveUp(String id) {
     Call call = calls.remove(id);
     if (call != null) {
-      forget(id, call);
+      drop(call);
     }
   }
 
-  private void late(String id, Call call) {
-    if (calls.remove(id, call)) {
-      forget(id, call);
-      core.called(id, call.via != null ? End.SLOW : End.UNREACHED, null);
+  private void late(Call call) {
+    if (calls.remove(call.id, call)) {
+      boolean sent = call.line != null;
+      counters.add(sent ? "index.late" : "index.unsent");
+      drop(call);
+      core.called(call.id, sent ? End.SLOW : End.UNREACHED, null);
     }
   }
 
-  /** Tells the index that nobody waits for a call any more. */
-  private void forget(String id, Call call) {
+  /** Tells the index that nobody waits any more. The connection goes too: its reply may never come, or come late. */
+  private void drop(Call call) {
     cancel(call);
-    if (call.via != null && call.via == connection && !connection.isClosed()) {
-      given.add(id);
-      if (given.size() > MOST_GIVEN) {
-        given.remove(given.iterator().next());
-      }
+    waiting.remove(call);
+    if (call.line != null) {
       counters.add("index.stops");
-      write("STOP " + id + "\r\n", null);
+      retire(call.line);
     }
   }
 
+  private void retire(Line line) {
+    lines--;
+    line.giveUp();
+    dial();
+  }
+
   private static void cancel(Call call) {
     if (call.timer != null) {
       call.timer.cancel(false);
     }
   }
 
-  private void over(String id, Call call, End end, byte[] reply) {
-    if (calls.remove(id, call)) {
+  private void over(Call call, End end, byte[] reply) {
+    if (calls.remove(call.id, call)) {
       cancel(call);
-      core.called(id, end, reply);
+      waiting.remove(call);
+      core.called(call.id, end, reply);
     }
   }
 
-  private void dial() {
-    dialling = true;
-    InetSocketAddress to = address;
-    Connection.dial(loop, to, DIAL_US, Connection.Limits.SMALL, new Connection.Dialled() {
-      @Override public void connected(Connection fresh) {
-        dialling = false;
-        if (!to.equals(address) && address != null) { // it has moved meanwhile
-          fresh.close("the index has moved");
-          dial();
-          return;
-        }
-        adopt(fresh);
-      }
-
-      @Override public void failed(Fault fault) {
-        dialling = false;
-        if (!to.equals(address) && address != null) {
-          dial();
-          return;
-        }
-        log.warn("the index is not reached: " + fault.why());
-        each(null, End.UNREACHED);
-      }
-    });
-  }
+  // ---- connections
 
-  private void adopt(Connection fresh) {
-    connection = fresh;
-    given.clear();
-    Replies replies = new Replies();
-    fresh.start(new Connection.Owner() {
-      @Override public void received(ByteBuffer bytes) {
-        if (!replies.take(bytes)) {
-          fresh.close("the index sent what is no reply");
+  /** Opens connections for the calls that wait, as far as there may be more. */
+  private void dial() {
+    while (address != null && dialling < waiting.size() && lines + dialling < MOST_LINES) {
+      dialling++;
+      InetSocketAddress to = address;
+      Connection.dial(loop, to, DIAL_US, Connection.Limits.SMALL, new Connection.Dialled() {
+        @Override public void connected(Connection fresh) {
+          dialling--;
+          counters.add("index.connections");
+          lines++;
+          Line line = new Line(fresh, to, IndexClient.this);
+          fresh.start(line);
+          free(line);
         }
-      }
 
-      @Override public void closed(Fault fault, boolean atEnd) {
-        if (connection == fresh) {
-          connection = null;
+        @Override public void failed(Fault fault) {
+          dialling--;
+          unreached(to, fault);
         }
-        each(fresh, End.CUT); // they were sent: nothing proves what became of them
-      }
-    });
-    calls.forEach((id, call) -> {
-      if (call.via == null) {
-        send(id, call);
-      }
-    });
-  }
-
-  /** Ends all calls that were written to a connection, or (null) to none. */
-  private void each(Connection via, End end) {
-    for (Map.Entry<String, Call> entry : new ArrayList<>(calls.entrySet())) {
-      if (entry.getValue().via == via) {
-        over(entry.getKey(), entry.getValue(), end, null);
-      }
+      });
     }
   }
 
-  private void send(String id, Call call) {
-    call.via = connection;
-    usedUs = clock.getAsLong();
-    counters.add("index.calls");
-    long leftMs = Math.max(1, (call.untilUs - clock.getAsLong()) / 1000);
-    write("GET " + id + " " + leftMs + " " + call.body.length + "\r\n", call.body);
-  }
-
-  private void write(String line, byte[] body) {
-    byte[] head = line.getBytes(StandardCharsets.ISO_8859_1);
-    ByteBuffer out = ByteBuffer.allocate(head.length + (body == null ? 0 : body.length + 2)).put(head);
-    if (body != null) {
-      out.put(body).put((byte) '\r').put((byte) '\n');
+  /** A refused connection proves that the call it was opened for never ran; where the index has moved, it is opened there. */
+  private void unreached(InetSocketAddress to, Fault fault) {
+    if (to.equals(address) && !waiting.isEmpty()) {
+      log.warn("the index is not reached: " + fault.why());
+      over(waiting.peek(), End.UNREACHED, null);
     }
-    connection.write(out.flip());
+    dial();
   }
 
-  /** The replies of one connection. */
-  private final class Replies {
-    private final LineBuffer lines = new LineBuffer(LONGEST);
-    private String id;
-    private int length = -1;
-
-    /** Takes bytes; false where they are no replies. */
-    boolean take(ByteBuffer bytes) {
-      if (!lines.add(bytes)) {
-        return false;
-      }
-      while (true) {
-        if (length >= 0) {
-          byte[] body = lines.block(length + 2);
-          if (body == null) {
-            return true;
-          }
-          length = -1;
-          reply(id, End.HIT, java.util.Arrays.copyOf(body, body.length - 2));
-          continue;
-        }
-        String line = lines.line();
-        if (line == null) {
-          return !lines.tooLong();
-        }
-        if (!head(line.split(" "))) {
-          log.warn("the index sent: " + line);
-          return false;
-        }
-      }
+  /** A connection can take a call: the one that has waited longest, if it may. */
+  private void free(Line line) {
+    if (line.over() || !line.to().equals(address)) {
+      retire(line);
+      return;
     }
-
-    private boolean head(String[] words) {
-      if (words.length < 2) {
-        return false;
-      }
-      id = words[0];
-      switch (words[1]) {
-        case "HIT" -> {
-          length = words.length < 3 ? -1 : (int) Words.number(words[2], 7);
-          return length >= 0 && length <= LONGEST;
-        }
-        case "SHED" -> reply(id, End.SHED, null);
-        case "NOBODY" -> reply(id, End.UNREACHED, null);
-        case "BROKEN" -> reply(id, End.BROKEN, null);
-        case "SLOW" -> reply(id, End.SLOW, null);
-        default -> {
-          return false;
-        }
+    for (Iterator<Call> each = waiting.iterator(); each.hasNext();) {
+      Call call = each.next();
+      if (!line.carried(call.id)) {
+        each.remove();
+        send(line, call);
+        return;
       }
-      return true;
     }
+    line.idle(clock.getAsLong());
+    idle.addFirst(line);
+  }
 
-    private void reply(String to, End end, byte[] body) {
-      Call call = calls.get(to);
-      if (call != null && call.via != null) {
-        over(to, call, end, body);
-      }
+  @Override public void replied(Line line, Call call, End end, byte[] body) {
+    free(line);
+    over(call, end, body);
+  }
+
+  @Override public void lost(Line line, Call call, End end, String why) {
+    lines--;
+    idle.remove(line);
+    if (call != null) {
+      counters.add("index.lost");
+      log.warn("a call got no reply: " + why);
+      over(call, end, null);
     }
+    dial();
   }
 }
--- /dev/null
+++ b/src/main/java/rosecleat/index/Line.java
@@ -0,0 +1,126 @@
+package rosecleat.index;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import rosecleat.core.Fault;
+import rosecleat.core.Ledger.End;
+import rosecleat.net.Connection;
+
+/** One connection to the index, with one call on it at a time: what spoils it costs no other call. */
+final class Line implements Connection.Owner {
+  /** What becomes of a line; told on the loop. */
+  interface Keeper {
+    /** The call ended with its reply. The line can take another one, unless it is {@link #over}. */
+    void replied(Line line, Call call, End end, byte[] body);
+
+    /** The line is of no more use; its call, null where it had none, came to no reply that can be read. */
+    void lost(Line line, Call call, End end, String why);
+  }
+
+  /** Calls after which a line is given up: so many ids are remembered. */
+  private static final int MOST_CALLS = 200;
+  /** Replies to others in front of the one that is waited for; more than that is noise. */
+  private static final int MOST_STRANGE = 8;
+
+  private final Connection connection;
+  private final InetSocketAddress to;
+  private final Keeper keeper;
+  private final Replies replies = new Replies();
+  private final Set<String> carried = new HashSet<>();
+  private Call call;
+  private long idleSinceUs;
+  private int strange;
+  private boolean over;
+
+  Line(Connection connection, InetSocketAddress to, Keeper keeper) {
+    this.connection = connection;
+    this.to = to;
+    this.keeper = keeper;
+  }
+
+  /** Where it leads. */
+  InetSocketAddress to() {
+    return to;
+  }
+
+  /** Whether it can take no further call. */
+  boolean over() {
+    return over || carried.size() >= MOST_CALLS;
+  }
+
+  /**
+   * Whether a call of this request was made here before. Guards against its late or second reply being taken for the
+   * reply to another call of the same request.
+   */
+  boolean carried(String id) {
+    return carried.contains(id);
+  }
+
+  /** When it became idle. */
+  long idleSinceUs() {
+    return idleSinceUs;
+  }
+
+  void idle(long nowUs) {
+    idleSinceUs = nowUs;
+  }
+
+  /** Sends a call. */
+  void send(Call next, long nowUs) {
+    call = next;
+    strange = 0;
+    carried.add(next.id);
+    long leftMs = Math.max(1, (next.untilUs - nowUs) / 1000);
+    byte[] head = bytes("GET " + next.id + " " + leftMs + " " + next.body.length + "\r\n");
+    connection.write(ByteBuffer.allocate(head.length + next.body.length + 2).put(head).put(next.body)
+        .put((byte) '\r').put((byte) '\n').flip());
+  }
+
+  /** Gives up its call, and the line with it: a reply that crosses finds nobody. */
+  void giveUp() {
+    if (call != null) {
+      connection.write(ByteBuffer.wrap(bytes("STOP " + call.id + "\r\n")));
+      call = null;
+    }
+    over = true;
+    connection.closeWhenWritten();
+  }
+
+  @Override public void received(ByteBuffer bytes) {
+    replies.take(bytes);
+    for (Replies.Reply reply = replies.next(); reply != null && !over; reply = replies.next()) {
+      if (call != null && reply.id().equals(call.id)) {
+        Call done = call;
+        call = null;
+        keeper.replied(this, done, reply.end(), reply.body());
+      } else if (++strange > MOST_STRANGE) {
+        end(End.BROKEN, "the index sent too much that nobody asked for");
+      }
+    }
+    if (replies.spoilt()) {
+      end(End.BROKEN, "the index sent what is no reply"); // the call has run, but what came of it is lost
+    }
+  }
+
+  @Override public void closed(Fault fault, boolean atEnd) {
+    end(End.CUT, fault.why());
+  }
+
+  private void end(End end, String why) {
+    if (over) {
+      return;
+    }
+    over = true;
+    Call lost = call;
+    call = null;
+    connection.close(why);
+    keeper.lost(this, lost, end, why);
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+}
--- a/src/main/java/rosecleat/net/LineBuffer.java
+++ b/src/main/java/rosecleat/net/LineBuffer.java
@@ -58,6 +58,11 @@
     return block;
   }
 
+  /** Bytes that wait. */
+  public int size() {
+    return to - from;
+  }
+
   /** Whether an unfinished line is longer than allowed. */
   public boolean tooLong() {
     return to - from > longest;
--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -44,7 +44,7 @@
   private static final double LEVEL_TOP = 0.98; // rank; the level goes no higher while work is done; ours
   private static final double BEHIND = 0.4; // of the wanted time; requests read so late are a backlog; ours
   private static final double AWAY = 0.3; // longest hold-offs per part of the cores that reads take; ours
-  private static final double RUN_PART = 0.4; // of the expected run; most are well under the mean; ours
+  private static final double RUN_PART = 1; // of the expected run; what has less time left is not begun; ours
   private static final double WORTH_US = 6e6; // us; busy cores keep a connection so long for a new one; ours
   private static final long SHORT_US = 50_000; // us; idle connections close so soon where few come back; ours
   private static final double SWAMPED = 0.7; // of the cores; reading and connections that take more; ours
@@ -794,7 +794,7 @@
     }
     double whole = expected(it);
     double worked = it.since - it.started - it.off;
-    return Math.min(it.due - MARGIN_US, it.aim) - Math.max(whole - worked, (1 - RUN_PART) * whole);
+    return Math.min(it.due - MARGIN_US, it.aim) - Math.max(whole - worked, 0);
   }
 
   /** A call much shorter than the run is made in any case; none is awaited many times its usual length. */
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
@@ -229,9 +230,52 @@
     client.send(RespClient.array("UNDO", tag));
     await(() -> index.lines.contains("STOP " + id) && runtime.commands.contains("stop " + id));
     assertEquals("OK", answer("card-refresh").get(1));
+    assertEquals(2, count("index.connections")); // a reply that never came may still come on the first
     assertEquals(0, ask(Core::inHand));
   }
 
+  @Test void aSpoiltReplyCostsNoOtherCall() throws IOException {
+    startReady();
+    List<String> spoilt = List.of("noise\u0000\u00ff\n", "ID HIT 3000000000\r\nxxxx", "ID HIT -4\r\n", "ID HIT many\r\n",
+        "ID HIT 2\r\nabcd\r\n", "ID MAYBE\r\n", "ID HIT\r\n", "x".repeat(100), "nobody SHED\r\n");
+    for (String text : spoilt) {
+      index.answers.addAll(List.of("wait", "raw " + text)); // the first is out while the second is spoilt
+      send("card-refresh", null);
+      await(() -> index.answers.size() == 1);
+      send("card-refresh", null);
+      assertEquals("OK", client.answer().get(1)); // a read may call again
+      index.release.countDown();
+      assertEquals("OK", client.answer().get(1));
+      index.release = new CountDownLatch(1);
+    }
+    assertEquals(spoilt.size(), count("calls.broken"));
+    assertEquals(0, count("calls.cut"));
+    assertEquals(2 * spoilt.size(), count("calls.hit"));
+  }
+
+  @Test void copiesAndStrangersInFrontAreNoReplies() throws IOException {
+    startReady();
+    String hit = "ID HIT 2\r\nok\r\n";
+    index.answers.addAll(List.of("raw 00000000000000ff HIT 3\r\nbad\r\n" + hit, "raw ID SHED\r\nID HIT 3\r\nbad\r\n",
+        "raw " + hit + hit, "HIT"));
+    for (int i = 0; i < 3; i++) { // the second calls twice: the surplus reply to its first call is not the second's
+      assertEquals("OK", answer("card-refresh").get(1));
+    }
+    assertTrue(runtime.gives.stream().noneMatch(g -> g.contains("bad")), runtime.gives.toString());
+    assertEquals(3, count("calls.hit"));
+    assertEquals(1, count("calls.shed"));
+  }
+
+  @Test void aConnectionThatStoodIdleIsNotUsedAgain() throws Exception {
+    startReady();
+    assertEquals("OK", answer("card-refresh").get(1));
+    Thread.sleep(300);
+    assertEquals("OK", answer("card-refresh").get(1));
+    assertEquals(2, count("index.connections"));
+    assertEquals("OK", answer("card-refresh").get(1)); // but the fresh one is
+    assertEquals(2, count("index.connections"));
+  }
+
   // ---- the roster
 
   @Test void theNodeReportsEachSecondWhateverTheRosterDoes() throws IOException {
--- a/src/test/java/rosecleat/standin/StandInIndex.java
+++ b/src/test/java/rosecleat/standin/StandInIndex.java
@@ -12,11 +12,11 @@
 public final class StandInIndex extends Server {
   /** The lines that came. */
   public final List<String> lines = new CopyOnWriteArrayList<>();
-  /** The next answers, first to last: a word, "cut" to break the connection, "" for silence, "wait"; then HIT. */
+  /** The next answers, first to last: a word, "cut" to break the connection, "" for silence, "wait", "raw TEXT" with ID in it; then HIT. */
   public final List<String> answers = new CopyOnWriteArrayList<>();
 
   /** Lets go the answers that wait. */
-  public final CountDownLatch release = new CountDownLatch(1);
+  public volatile CountDownLatch release = new CountDownLatch(1);
 
   @Override protected void serve(Socket socket) throws IOException {
     DataInputStream in = new DataInputStream(socket.getInputStream());
@@ -32,6 +32,11 @@
       if (answer.equals("cut")) {
         return;
       }
+      if (answer.startsWith("raw ")) {
+        socket.getOutputStream().write(answer.substring(4).replace("ID", words[1])
+            .getBytes(StandardCharsets.ISO_8859_1));
+        continue;
+      }
       if (answer.equals("wait")) {
         try {
           release.await();
