Value a tenant's next request by what it was served, and repeat keyed starts after a break

Ruled out: credit (18 to 22 said), memory (0.2), the limit. Links: a keyed start lost with a broken link hung until its due time (RuntimeLink.start never repeated it). It is repeated where the settings say that each run calls first, so that it cannot have ended unseen; else it fails at once. Commands older than a second are not repeated. Bodies and numbers that can't be read cost their own run alone.

--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -33,6 +33,8 @@
   private static final long EARLY_US = 150_000;
   /** What is owed so shortly before the end is failed (us). */
   private static final long LAST_US = 300_000;
+  /** A beat so much late is worth a line in the log (us). */
+  private static final long LATE_US = 200_000;
   /** When no connection has come for so long, none is expected any more (us). */
   private static final long CALM_US = 500_000;
 
@@ -48,6 +50,7 @@
   private final RespFront resp;
   private final UwsgiFront uwsgi;
   private long endUs = Long.MAX_VALUE;
+  private long beatUs = Long.MAX_VALUE;
   private Runnable whenLeft = () -> { };
 
   /** A node; {@code broker} is null where there is no second front. */
@@ -85,7 +88,7 @@
     for (int i = 0; i < grades.size(); i++) {
       PolicyApi.Klass grade = grades.get(i);
       classes.add(new Core.Klass(start.classes().get(i), grade.effect() == PolicyApi.Effect.KEYED,
-          grade.windowUs(), grade.dueUs()));
+          grade.calls(), grade.windowUs(), grade.dueUs()));
     }
     return List.copyOf(classes);
   }
@@ -164,13 +167,20 @@
     });
   }
 
+  /** The module's clock and all that is done by time. What makes it late makes every answer late, so that is told. */
   private void beat() {
+    long lateUs = clock.getAsLong() - beatUs;
+    if (lateUs > LATE_US) {
+      counters.add("beats.late");
+      log.warn("the loop was " + lateUs / 1000 + " ms late, with " + core.inHand() + " in hand");
+    }
     long next = core.tick();
     boolean draining = endUs != Long.MAX_VALUE;
     resp.sweep(draining && core.pastGrace());
     if (draining) {
       leaving();
     }
+    beatUs = next;
     loop.after(next - clock.getAsLong(), this::beat);
   }
 
--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -15,8 +15,8 @@
  * module decides, and answered once. Knows no wire. For one thread.
  */
 public final class Core {
-  /** What the core needs to know of a class. */
-  public record Klass(String name, boolean keyed, long windowUs, long dueUs) { }
+  /** What the core needs to know of a class; {@code calls} where each run stands still at a call before it ends. */
+  public record Klass(String name, boolean keyed, boolean calls, long windowUs, long dueUs) { }
 
   /** Figures the core works under: microseconds and bytes. */
   public record Rules(int cores, List<Klass> classes, long slackUs, long graceUs, long idleUs, long resultBytes) { }
@@ -98,6 +98,11 @@
     return clock.getAsLong() > graceEndUs;
   }
 
+  /** Whether each run of a class stands still at a call before it ends. */
+  public boolean calls(int klass) {
+    return rules.classes().get(klass).calls();
+  }
+
   /** The counts of this core. */
   public Counters counters() {
     return counters;
--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -50,6 +50,7 @@
   private static final double SWAMPED = 0.7; // of the cores; reading and connections that take more; ours
   private static final double IDLE_UP = 1.5; // factor a step of the limit; rise of the idle span; ours
   private static final double IDLE_DOWN = 0.98; // factor a step of the limit; fall of the idle span; ours
+  private static final double ENOUGH = 1.5; // quotas; who is served that much gains little by more; ours
   private static final double CREDIT = 16; // limits; what all callers together may have here; ours
   private static final double SELDOM = 0.08; // refusal chance up to which a first try may go on; ours
   private static final double QUICK = 0.1; // of the expected run; so short a call is always made; ours
@@ -124,6 +125,7 @@
   private double crowding = 1; // what wants the cores over the cores, smoothed; 1 while all of it fits
   private double reading; // part of the cores that reading and connections want, smoothed
   private final double[] tenantPart; // of the recent arrivals
+  private final double[] served; // recent runs that ended well, by tenant
   private final double quotas; // requests a second inside all shares, over all servers
   private final double[] ring = new double[RING];
   private int ringCount;
@@ -160,6 +162,7 @@
     mean = new double[s.classes().size()];
     samples = new int[mean.length];
     tenantPart = new double[s.tenants().size()];
+    served = new double[tenantPart.length];
     quotas = s.tenants().stream().mapToDouble(Tenant::quotaPerS).sum();
     for (int t = 0; t < tenantPart.length; t++) {
       tenantPart[t] = quotas > 0 ? s.tenants().get(t).quotaPerS() / quotas : 0; // until it is known better
@@ -229,6 +232,9 @@
     if (wasRun && outcome == Outcome.OK || outcome == Outcome.ERROR) {
       rates(now);
       completions += 1;
+      if (outcome == Outcome.OK && it.q.tenant() < served.length) {
+        served[it.q.tenant()] += 1;
+      }
       mechanism();
     }
     if (wasRun) {
@@ -336,6 +342,9 @@
     double fade = Math.exp(-(now - ratesAt) / RATE_US);
     arrivals *= fade;
     completions *= fade;
+    for (int t = 0; t < served.length; t++) {
+      served[t] *= fade;
+    }
     ratesAt = now;
   }
 
@@ -400,11 +409,11 @@
   }
 
   /**
-   * What share of this tenant's requests is inside its quota, as far as this server can see. Over it
-   * is only who sends more than its quota a server and more than its part of all quotas: further tries
-   * and uneven load swell every tenant's rate alike, and a thin sample must not set those inside their
-   * shares against each other. Harm: where demand drifts, a newcomer is over its share only after some
-   * tens of arrivals.
+   * What one more request of this tenant is worth: little once it is served its quota, as far as this
+   * server can see, and not the mean over all it sends. Over its quota is only who sends more than its
+   * quota a server and more than its part of all quotas: further tries and uneven load swell every tenant's
+   * rate alike, and a thin sample must not set those inside their shares against each other. Harm: where
+   * demand drifts, a newcomer is over its share only after some tens of arrivals.
    */
   private double shareWorth(int t) {
     if (t >= tenantPart.length || s.overShareWorth() >= 1 || s.servers() == 0 || quotas <= 0) {
@@ -417,7 +426,8 @@
     double rate = arrivals / (RATE_US / 1e6) * s.servers() / quotas;
     double over = tenantPart[t] / part * Math.min(1, rate);
     double chance = Math.sqrt((1 - part) / part / (2 * SAMPLE)); // so far a thin sample strays
-    return over <= 1 + chance ? 1 : (1 + (over - 1) * s.overShareWorth()) / over;
+    double had = served[t] / (RATE_US / 1e6) * s.servers() / s.tenants().get(t).quotaPerS();
+    return over <= 1 + chance || had < ENOUGH ? 1 : s.overShareWorth();
   }
 
   /**
--- a/src/main/java/rosecleat/runtime/Message.java
+++ b/src/main/java/rosecleat/runtime/Message.java
@@ -31,14 +31,23 @@
 
   /** A whole number, {@code otherwise} where the field is absent. */
   long number(String field, long otherwise) {
-    String value = fields.get(field);
-    return value == null ? otherwise : (long) Double.parseDouble(value);
+    double value = decimal(field);
+    return Double.isNaN(value) ? otherwise : (long) value;
   }
 
   /** A span given in milliseconds, in microseconds. */
   long micros(String field) {
-    String value = fields.get(field);
-    return value == null ? 0 : Math.round(1000 * Double.parseDouble(value));
+    double value = decimal(field);
+    return Double.isNaN(value) ? 0 : Math.round(1000 * value);
+  }
+
+  /** A number, not a number where the field is absent or something else. */
+  private double decimal(String field) {
+    try {
+      return Double.parseDouble(fields.getOrDefault(field, "NaN"));
+    } catch (NumberFormatException e) {
+      return Double.NaN;
+    }
   }
 
   double[] numbers() {
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -30,23 +30,29 @@
   private static final long GAUGES_US = 200_000;
   private static final int LONGEST = 1 << 20;
   private static final int WAITING = 4_096;
+  /** A broken link loses no command older than 50 ms; so much earlier than we hear of the break is surely older (us). */
+  private static final long DOUBT_US = 1_000_000;
   private static final String RESUMED = "resumed";
   private static final Connection.Limits LIMITS = new Connection.Limits(16 << 10, 1 << 20, 4 << 20, 10_000_000);
 
+  /** A command that was sent at a time, and whether sending it again is no harm where it had arrived. */
+  private record Sent(String command, boolean repeatable, long atUs) { }
+
   private final EventLoop loop;
   private final Core core;
   private final LongSupplier clock;
   private final Counters counters;
   private final Log log;
   private final ArrayDeque<String> unsent = new ArrayDeque<>();
-  /** The last command of each run that the runtime has shown no effect of, and that may be sent again. */
-  private final Map<String, String> doubtful = new LinkedHashMap<>();
+  /** The last command of each run that the runtime has shown no effect of. */
+  private final Map<String, Sent> doubtful = new LinkedHashMap<>();
   private final Set<String> repeated = new HashSet<>();
   private InetSocketAddress address;
   private Connection link;
   private boolean dialling;
   private boolean ready;
   private long lastNotice;
+  private long brokenUs;
   private long gaugesAskedUs;
   private boolean gaugesOut;
 
@@ -94,6 +100,7 @@
     if (!to.equals(address)) {
       address = to;
       ready = false;
+      brokenUs = clock.getAsLong();
       connect();
     }
   }
@@ -129,6 +136,7 @@
         boolean stood = ready;
         link = null;
         ready = false;
+        brokenUs = clock.getAsLong();
         // at once, as the runtime goes on meanwhile; a link that never stood must not be made again in a whirl
         loop.after(stood ? 0 : RETRY_US, () -> {
           if (link == null) {
@@ -142,10 +150,15 @@
 
   // ---- commands
 
+  /**
+   * A start that a broken link may have swallowed is sent again once all earlier notices were read: for a run that goes
+   * on, nothing happens then. One that had ended between that reading and the repeat would run twice, which a keyed
+   * request must not. Where each run stands still at a call first, it can't end unseen; elsewhere it is not repeated.
+   */
   @Override public void start(Ask ask, long dueUs) {
     String command = "{\"type\":\"start\",\"job\":\"" + ask.id() + "\",\"kind\":\"" + ask.kind() + "\",\"data\":\""
         + base64(ask.body()) + "\"}";
-    send(ask.id(), command, ask.once() == null); // a keyed start that may have arrived must not be sent again
+    send(ask.id(), command, ask.once() == null || core.calls(ask.klass()));
   }
 
   @Override public void stop(String id) {
@@ -180,9 +193,7 @@
     doubtful.remove(id);
     if (ready && link != null && !link.isClosed()) {
       write(command);
-      if (repeatable) {
-        doubtful.put(id, command);
-      }
+      doubtful.put(id, new Sent(command, repeatable, clock.getAsLong()));
     } else if (unsent.size() < WAITING) {
       unsent.add(command);
     } else {
@@ -196,9 +207,11 @@
 
   // ---- notices
 
+  /** Guards the link: a line that can't be read is passed over alone. */
   private void notice(String line) {
     Message message = Message.parse(line);
     if (message == null) {
+      counters.add("runtime.unread");
       log.warn("the runtime sent what is no message: " + line);
       return;
     }
@@ -216,8 +229,18 @@
     }
     switch (message.text("type")) {
       case "ready" -> ready(message);
-      case "end" -> core.ended(job, end(message.text("state")), data(message), message.micros("took"));
-      case "wants" -> core.wants(job, n, data(message));
+      case "end" -> {
+        byte[] result = data(message);
+        core.ended(job, result == null ? End.CUT : end(message.text("state")), result, message.micros("took"));
+      }
+      case "wants" -> {
+        byte[] body = data(message);
+        if (body == null) {
+          core.nacked(job, false); // the call can't be made: it waits for what will not come
+        } else {
+          core.wants(job, n, body);
+        }
+      }
       case "load" -> {
         gaugesOut = false;
         if (message.text("ref").equals(RESUMED)) {
@@ -251,12 +274,21 @@
    */
   private void resumed() {
     repeated.clear();
-    for (Map.Entry<String, String> entry : doubtful.entrySet()) {
-      counters.add("runtime.resent");
-      repeated.add(entry.getKey());
-      write(entry.getValue());
-    }
+    Map<String, Sent> last = new LinkedHashMap<>(doubtful);
     doubtful.clear();
+    last.forEach((id, sent) -> {
+      if (sent.atUs < brokenUs - DOUBT_US) {
+        return; // it had arrived
+      }
+      if (sent.repeatable) {
+        counters.add("runtime.resent");
+        repeated.add(id);
+        write(sent.command);
+      } else {
+        counters.add("runtime.unproven");
+        core.ended(id, End.CUT, null, 0); // answered now: nothing more will prove whether it runs
+      }
+    });
   }
 
   private void nacked(String command, String job) {
@@ -280,7 +312,14 @@
     };
   }
 
-  private static byte[] data(Message message) {
-    return Base64.getDecoder().decode(message.text("data"));
+  /** The bytes that a message carries, null where they can't be read. */
+  private byte[] data(Message message) {
+    try {
+      return Base64.getDecoder().decode(message.text("data"));
+    } catch (IllegalArgumentException e) {
+      counters.add("runtime.unread");
+      log.warn("the runtime sent a body that is no base64");
+      return null;
+    }
   }
 }
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -171,16 +171,44 @@
     assertEquals(1, count("runtime.resent"));
   }
 
-  @Test void aKeyedStartThatMayHaveArrivedIsNotSentAgain() throws IOException {
+  @Test void aKeyedStartThatMayHaveArrivedIsNotSentAgainAndFailsAtOnce() throws IOException {
     startReady();
     runtime.swallow = 1;
-    send("card-load", "k");
+    long sentNs = System.nanoTime();
+    send("card-load", "k"); // its runs may end without a call: a repeat could run it twice
     await(() -> runtime.swallow == 0);
     runtime.cut();
-    assertEquals("FAILED", client.answer().get(1)); // by its due time
+    assertEquals("FAILED", client.answer().get(1));
+    assertTrue(System.nanoTime() - sentNs < 700_000_000, "it hung until its due time");
     assertEquals(0, runtime.starts.size());
   }
 
+  @Test void aKeyedStartWhoseRunMustCallFirstIsSentAgain() throws IOException {
+    node = new Node(TestSite.config(runtime.port(), index.port(), roster.port(), 2_000, 500, true), null, log);
+    node.start();
+    client = new RespClient(node.port(), null);
+    await(this::ready);
+    runtime.swallow = 1;
+    send("card-load", "k");
+    await(() -> runtime.swallow == 0);
+    runtime.cut();
+    assertEquals(StandInRuntime.result("body 1"), client.answer().get(3));
+    runtime.cut(); // the run has shown its end: nothing is sent again
+    assertEquals("OK", answer("balance-check").get(1));
+    assertEquals(1, runtime.startsOf("body 1"));
+  }
+
+  @Test void whatCannotBeReadOnTheLinkCostsNoOtherRun() throws IOException {
+    startReady();
+    runtime.spoil = "{\"type\":\"info\",\"n\":true,\"state\":\"x\"}\n[]\n{\"type\":\"end\"\n"
+        + "{\"type\":\"end\",\"job\":\"0000000000000001\",\"state\":\"ok\",\"data\":\"?!\"}\n";
+    send("balance-check", null);
+    assertEquals("FAILED", client.answer().get(1)); // its end came, its result can't be read
+    assertEquals("OK", answer("balance-check").get(1));
+    assertEquals(0, count("runtime.unreached"));
+    assertEquals(1, count("runs.cut"));
+  }
+
   @Test void aStartThatIsNotCarriedOutFailsAndLeavesTheKeyFree() throws IOException {
     startReady();
     runtime.nackStarts = true;
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -90,8 +90,9 @@
 
   private Core fresh(long resultBytes) {
     NodeConfig config = TestSite.config(0, 0, 0, 3_000, 1_500);
-    List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, 0, 1_200_000),
-        new Core.Klass("card-refresh", false, 0, 1_200_000), new Core.Klass("card-load", true, WINDOW_US, 1_200_000));
+    List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, false, 0, 1_200_000),
+        new Core.Klass("card-refresh", false, true, 0, 1_200_000),
+        new Core.Klass("card-load", true, false, WINDOW_US, 1_200_000));
     return new Core(new Core.Rules(TestSite.CORES, classes, 80_000, 1_500_000, 30_000_000, resultBytes),
         new Decisions(config.start().settings(), config.start().gauges(), 5), ledger, () -> now, new Counters(), log);
   }
--- a/src/test/java/rosecleat/policy/MechanismTest.java
+++ b/src/test/java/rosecleat/policy/MechanismTest.java
@@ -209,6 +209,11 @@
     for (int i = 0; i < 40; i++) {
       h.arrive(0, i % 4 == 0 ? 1 : 0, 0, 0, 0);
     }
+    for (Host.Entry e : List.copyOf(h.entries.values())) { // it is served its quota
+      if (e.at == Host.At.RUNNING && e.q.tenant() == 0) {
+        h.end(e, Outcome.OK, 1_000);
+      }
+    }
     h.policy.uAv = 1;
     h.policy.rhoAv = 2.2;
     assertEquals("", h.arrive(0, 1, 0, 0, 0).answer);
--- a/src/test/java/rosecleat/policy/RulesTest.java
+++ b/src/test/java/rosecleat/policy/RulesTest.java
@@ -300,6 +300,18 @@
     assertEquals(Host.At.RUNNING, late.at);
   }
 
+  @Test void aRunThatNoLongerFitsIsNotBegunWhileOthersRun() {
+    Host h = new Host(Sites.plain(), 1);
+    for (int i = 0; i < 30; i++) {
+      Host.Entry e = h.arrive(0);
+      h.pass(400_000);
+      h.end(e, Outcome.OK, 400_000);
+    }
+    h.arrive(0);
+    assertEquals("refuse", h.arrive(0, 0, 700_000, 0, 0).answer); // 300 ms are left and 400 ms of work
+    assertEquals(Host.At.RUNNING, h.arrive(0, 0, 500_000, 0, 0).at);
+  }
+
   @Test void pausedWorkKeepsItsMemoryInTheBooks() {
     Host h = new Host(Sites.with(Halt.PAUSE, Say.LEVEL, Below.OFF, 0, 400, false, List.of(),
         List.of(Sites.SAFE)), 1);
--- a/src/test/java/rosecleat/standin/StandInRuntime.java
+++ b/src/test/java/rosecleat/standin/StandInRuntime.java
@@ -42,6 +42,8 @@
   /** So many commands are lost with the link they came by. */
   public volatile int swallow;
   public volatile boolean nackStarts;
+  /** Sent once, behind the next start. */
+  public volatile String spoil = "";
   public volatile long readyAfterMs;
 
   public StandInRuntime(int workMs) {
@@ -83,6 +85,10 @@
           jobs.put(id, job);
           queue.add(job);
           next();
+          if (!spoil.isEmpty()) {
+            link.getOutputStream().write(spoil.getBytes(StandardCharsets.UTF_8));
+            spoil = "";
+          }
         }
       }
       case "stop" -> {
--- a/src/test/java/rosecleat/standin/TestSite.java
+++ b/src/test/java/rosecleat/standin/TestSite.java
@@ -11,11 +11,16 @@
 
   /** A node's configuration; ports of 0 leave a part out. */
   public static NodeConfig config(int runtime, int index, int roster, int stopMs, int graceMs) {
+    return config(runtime, index, roster, stopMs, graceMs, false);
+  }
+
+  /** The same, where runs of the keyed write call below too, or do not. */
+  public static NodeConfig config(int runtime, int index, int roster, int stopMs, int graceMs, boolean keyedCalls) {
     String text = """
         {"name":"t1","listen":"127.0.0.1:0",%s%s%s"seed":"2a","stop_ms":%d,"limits":{"sockets":1024},
          "settings":{
           "bounds":{"max-retry-after-us":1000000,"retry-after":true},"clients":{"marks-retry":true},
-          "extra":{"below":"shared","calls-out":50,"calls-over-us":5000000,"class-calls":[false,true,false],
+          "extra":{"below":"shared","calls-out":50,"calls-over-us":5000000,"class-calls":[false,true,%b],
            "clients-total":2,"cold":false,"cpus":%d,"gauges":["core_use","on_cores","heap_share","links"],
            "halt":"drop","heeded-us":1000000,"idle-us":30000000,"key-kb":20,"lingers-us":200000,
            "mem-limit-kb":200000,"passes-deadline":true,"run-factor":4,"say":"credit","tells-gone":true,
@@ -30,7 +35,7 @@
           "rules":{"answer-slack-us":80000,"cold-share":0.3,"fall-multiple":8,"overload-for-us":2000000,
            "ramp-time-us":5000000,"stop-sending-within-us":%d}}}
         """.formatted(address("runtime", runtime), address("index", index), address("roster", roster), stopMs,
-        CORES, graceMs * 1000);
+        keyedCalls, CORES, graceMs * 1000);
     return NodeConfig.parse(text, Map.of());
   }
 
