--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -32,6 +32,8 @@
   private static final long BYE_US = 1_000_000;
   /** A connection's first message, and the rest of one that has begun, are awaited so long (us). */
   private static final long PATIENCE_US = 2_000_000;
+  /** Mistakes that a connection may make; no balancer comes near. */
+  private static final int MOST_ERRORS = 64;
 
   private final Core core;
   private final Counters counters;
@@ -100,6 +102,7 @@
     private final long bornUs = clock.getAsLong();
     private boolean spoke;
     private long partSinceUs;
+    private int errors;
     private boolean checks;
     private long leavingUs;
 
@@ -199,6 +202,10 @@
       log.warn("request " + tag + " of a balancer failed: " + why);
       connection.write(RespReplies.answer(tag, new Answer.Failed(
           new Fault(Progress.NOT_SENT, why), Answer.Cause.CALLER), core.credit()));
+      if (++errors >= MOST_ERRORS) { // guards the balancers: what floods the loop with mistakes is shut out
+        counters.add("resp.errant");
+        connection.closeWhenWritten();
+      }
     }
 
     /** Guards places and memory against peers that say nothing, or never finish what they began to say. */
--- a/src/main/java/rosecleat/front/resp/RespParser.java
+++ b/src/main/java/rosecleat/front/resp/RespParser.java
@@ -10,8 +10,8 @@
  * is skipped and stands as null in its array, so that the rest of the array can still be answered.
  */
 final class RespParser {
-  /** Strings in an array, at the most. */
-  private static final int MOST = 16;
+  /** Strings in an array, at the most: a request has five. What is kept of one message is bounded by it. */
+  private static final int MOST = 8;
   /** A length that no honest peer sends; the stream is given up there. */
   private static final long ABSURD = 1 << 24;
   private static final int HEAD = 24;
--- a/src/main/java/rosecleat/index/Line.java
+++ b/src/main/java/rosecleat/index/Line.java
@@ -81,11 +81,13 @@
 
   /** Gives up its call, and the line with it: a reply that crosses finds nobody. */
   void giveUp() {
-    if (call != null) {
-      connection.write(ByteBuffer.wrap(bytes("STOP " + call.id + "\r\n")));
-      call = null;
-    }
     over = true;
+    if (call == null) {
+      connection.close("unused"); // nothing is under way that a slow close would save, and descriptors are few
+      return;
+    }
+    connection.write(ByteBuffer.wrap(bytes("STOP " + call.id + "\r\n")));
+    call = null;
     connection.closeWhenWritten();
   }
 
--- /dev/null
+++ b/src/test/java/rosecleat/front/resp/PatienceTest.java
@@ -0,0 +1,79 @@
+package rosecleat.front.resp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import rosecleat.config.NodeConfig;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.core.Ledger;
+import rosecleat.log.Log;
+import rosecleat.net.EventLoop;
+import rosecleat.policy.Decisions;
+import rosecleat.runtime.NoRuntime;
+import rosecleat.standin.RespClient;
+import rosecleat.standin.TestSite;
+
+/** How long the front waits for what a connection owes it, on a clock of the test's own. */
+class PatienceTest {
+  private static final Ledger NONE = new Ledger() {
+    @Override public void call(String id, long untilUs, byte[] body) { }
+
+    @Override public void giveUp(String id) { }
+  };
+
+  @Test void whoSaysNothingOrHalfIsClosedAndWhoAskedOnceMayStay() throws Exception {
+    AtomicLong now = new AtomicLong(1_800_000_000_000_000L);
+    try (Log log = new Log(System.err); EventLoop loop = new EventLoop(log)) {
+      NodeConfig config = TestSite.config(0, 0, 0, 3_000, 1_500);
+      List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, false, 0, 1_000_000));
+      Core core = new Core(new Core.Rules(2, classes, 80_000, 1_500_000, 30_000_000, 1 << 20),
+          new Decisions(config.start().settings(), config.start().gauges(), 5), NONE, now::get, new Counters(), log);
+      RespFront front = new RespFront(loop, new InetSocketAddress("127.0.0.1", 0), 100, core,
+          new RespFront.Names(classes, List.of("small"), new NoRuntime(loop, core)), now::get, log);
+      try (RespClient silent = new RespClient(front.port(), null); RespClient half = new RespClient(front.port(), null);
+          RespClient once = new RespClient(front.port(), null)) {
+        half.send("*5\r\n$2\r\nDO\r\n$1\r\n1\r\n".getBytes(StandardCharsets.UTF_8));
+        ask(once, 1);
+        while (on(loop, front::open) < 3) {
+          Thread.yield();
+        }
+        now.addAndGet(1_900_000);
+        sweep(loop, front);
+        ask(once, 2);
+        now.addAndGet(200_000);
+        sweep(loop, front);
+        assertNull(silent.read());
+        assertNull(half.read());
+        ask(once, 3);
+        assertEquals(2, core.counters().get("resp.slow"));
+      }
+    }
+  }
+
+  private static void ask(RespClient client, int tag) throws Exception {
+    client.send(RespClient.array("DO", tag, "balance-check",
+        RespClient.fields(String.format("%016x", tag), "small", 900, null), "b"));
+    assertEquals("BUSY", client.answer().get(1)); // the cores are not up
+  }
+
+  private static void sweep(EventLoop loop, RespFront front) {
+    on(loop, () -> {
+      front.sweep(false);
+      return 0;
+    });
+  }
+
+  private static int on(EventLoop loop, java.util.function.Supplier<Integer> task) {
+    CompletableFuture<Integer> done = new CompletableFuture<>();
+    loop.execute(() -> done.complete(task.get()));
+    return done.orTimeout(5, TimeUnit.SECONDS).join();
+  }
+}
