--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -61,10 +61,9 @@
     try {
       SettingsReader.Start start = broker == null ? config.start() : broker.start();
       PolicyApi.Settings settings = start.settings();
-      List<Core.Klass> classes = classes(start);
+      Core.Rules rules = rules(start);
+      List<Core.Klass> classes = rules.classes();
       index = new IndexClient(loop, config.index(), clock, counters, log);
-      Core.Rules rules = new Core.Rules(settings.cores(), classes, settings.slackUs(), settings.graceUs(),
-          settings.idleUs(), RESULT_BYTES);
       core = new Core(rules, new Decisions(settings, start.gauges(), config.seed()), index, clock, counters, log);
       index.tell(core);
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
@@ -82,6 +81,13 @@
     }
   }
 
+  /** What a core works under at these settings. */
+  static Core.Rules rules(SettingsReader.Start start) {
+    PolicyApi.Settings settings = start.settings();
+    return new Core.Rules(settings.cores(), classes(start), settings.slackUs(), settings.graceUs(), settings.idleUs(),
+        RESULT_BYTES);
+  }
+
   private static List<Core.Klass> classes(SettingsReader.Start start) {
     List<Core.Klass> classes = new ArrayList<>();
     List<PolicyApi.Klass> grades = start.settings().classes();
--- a/src/main/java/rosecleat/cli/Rehearsal.java
+++ b/src/main/java/rosecleat/cli/Rehearsal.java
@@ -34,6 +34,7 @@
 
   /** Rehearses under a configuration; false where not all requests were answered in time. */
   static boolean run(NodeConfig config) throws IOException {
+    Warmup.play(config);
     return new Rehearsal().play(config);
   }
 
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -36,6 +36,9 @@
     Log log = new Log(System.err);
     Reload reload = new Reload(config, reader, log);
     reload.install(); // before it listens: from then on a signal may come
+    if (config.runtime() != null) {
+      Warmup.play(config);
+    }
     Node node = new Node(config, broker, log);
     Serving serving = new Serving(config, node, log);
     new Thread(serving::stay, "stay").start();
