Do not ask a connection to close in the middle of a message

Seen: BadClientsTest failed on a busy machine: BYE came in place of the answer to a 10 MB message that was still coming. Ruled out: the answer itself, which came behind the BYE. Test: PatienceTest.whoIsInTheMiddleOfAMessageIsNotIdle, which fails without the change.

--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -67,6 +67,11 @@
     return peers.size();
   }
 
+  /** Connections in the middle of a message. */
+  int receiving() {
+    return (int) peers.stream().filter(peer -> peer.parser.begun()).count();
+  }
+
   /** Accepts no further connection, once none has come for so long; true when none can come any more. */
   public boolean stopListening(long quietUs) {
     return listener.closeIfQuiet(quietUs);
@@ -77,7 +82,8 @@
     long now = clock.getAsLong();
     long idleUs = core.idleUs();
     for (Peer peer : new ArrayList<>(peers)) {
-      if (all || peer.open.isEmpty() && !peer.checks && now - peer.usedUs > idleUs) {
+      // in the middle of a message a connection is in use, however slowly its bytes come
+      if (all || peer.use() != Connection.Use.BUSY && !peer.checks && now - peer.usedUs > idleUs) {
         peer.bye(now);
       }
       peer.closeIfLeft(now);
