Grant no spare credit while far slower than before, and average what call is usual

A probe: one node ran its work 5 to 8 times slower for 8 s, ended 10 runs a second, yet said 15 to 40 to each balancer; 20 in-share first tries a second came and were lost there. Slowness was 4.4 to 8.9 then and 2.7 at most elsewhere. At fault: Policy.signal, whose credit did not look at slowness. Seen too: a first call of 6.5 ms was taken for the usual length (called), so that two calls at a time were let out with 13 waiting. Tests: aServerFarSlowerThanItWasHasNoCreditToSpare, aFirstCallThatWasShort..., both fail without it.

--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -52,6 +52,7 @@
   private static final double IDLE_DOWN = 0.98; // factor a step of the limit; fall of the idle span; ours
   private static final double ENOUGH = 1.5; // quotas; who is served that much gains little by more; ours
   private static final double CREDIT = 64; // limits; what all callers together may have here; ours
+  private static final double LAME = 3.5; // run time over base; so slow a server has no credit to spare; ours
   private static final double SELDOM = 0.08; // refusal chance up to which a first try may go on; ours
   private static final double QUICK = 0.1; // of the expected run; so short a call is always made; ours
   private static final double PATIENCE = 8; // usual lengths of a call after which it is given up; ours
@@ -137,7 +138,8 @@
   double limit;
   private int running;
   private double callTook; // us; smoothed, those given up too
-  private double callUsual; // us; the same while calls below are not crowded, over many more
+  private double callUsual; // us; the same over many more calls, and those that are not crowded
+  private int callsEnded;
   private double callLimit = Double.MAX_VALUE; // calls out at a time
   private int away; // requests at a call: they are off the cores, and will come back
   private double memoryKb;
@@ -280,8 +282,8 @@
       boolean neverRan = outcome == Outcome.FULL || outcome == Outcome.UNREACHED;
       callOver(it, outcome == Outcome.OK || outcome == Outcome.ERROR || neverRan);
       callTook += (tookUs - callTook) * (callTook == 0 ? 1 : 0.1);
-      boolean crowded = callUsual > 0 && callTook > CALLS_SLOW * callUsual;
-      callUsual += crowded ? 0 : (callTook - callUsual) * (callUsual == 0 ? 1 : 0.01);
+      double newest = callTook > CALLS_SLOW * callUsual ? 0.001 : 0.01; // a lasting change is usual at last
+      callUsual += (callTook - callUsual) * Math.max(newest, 1.0 / ++callsEnded);
       if (outcome == Outcome.OK) {
         it.calls = 0;
         setState(it, State.RUNNING);
@@ -473,14 +475,12 @@
     double chance = bound ? 1 - fCf(arriving(worth * ALIKE)) : 0;
     refusal += 0.05 * (chance - refusal);
     over += 0.05 * ((it.q.rank() < level ? 0 : behind() ? 1 : chance) - over);
+    boolean keyed = it.k.effect() == Effect.KEYED;
     if (late || hung || memoryKb > HOLD_PART * s.memoryKb() || hopeless(now, it)
+        || keyed && memoryKb + s.keyKb() > MEMORY_PART * s.memoryKb()
         || chance > 0 && random.nextDouble() < chance && !tradedIn(worth)) {
       refuse(it);
-    } else if (it.k.effect() == Effect.KEYED) {
-      if (memoryKb + s.keyKb() > MEMORY_PART * s.memoryKb()) {
-        refuse(it);
-        return;
-      }
+    } else if (keyed) {
       if (it.effects == null) {
         it.effects = new Effects();
       }
@@ -969,8 +969,8 @@
   }
 
   /**
-   * The credit is for many limits: callers that have none left turn requests away blindly, the hold picks
-   * by worth. Guards the tenants inside their shares; harm: each request too many costs a read.
+   * The credit is for many limits: callers that have none left turn requests away blindly, the hold picks by
+   * worth. Harm: each request too many costs a read. A server far slower than it was has none to spare.
    */
   private void signal() {
     boolean shut = shut();
@@ -982,8 +982,8 @@
       case OFF -> Double.NaN;
       case LEVEL -> shut ? 1 : level;
       case CREDIT -> shut ? 0
-          : (1 - refusal)
-              * Math.max(refusal > SELDOM ? 0 : 1, CREDIT * limit / Math.max(1, s.callers()));
+          : (1 - refusal) * Math.max(refusal > SELDOM ? 0 : 1,
+              (slowness() > LAME ? 1 : CREDIT) * limit / Math.max(1, s.callers()));
       case WEIGHT -> shut ? 0 : slowness() > SLOW ? 1 / slowness() : 1;
     };
     if (s.say() != Say.OFF && !(Math.abs(value - said) < 0.01)) {
--- a/src/test/java/rosecleat/policy/RulesTest.java
+++ b/src/test/java/rosecleat/policy/RulesTest.java
@@ -322,6 +322,22 @@
     assertEquals(4, h.actions.subList(freed, h.actions.size()).stream().filter(a -> a.startsWith("call")).count());
   }
 
+  @Test void aFirstCallThatWasShortDoesNotHoldBackTheOthers() {
+    Host h = below(40, false, CALLS);
+    for (int i = 0; i < 60; i++) {
+      Host.Entry e = h.arrive(0);
+      h.pass(10_000);
+      h.need(e);
+      h.pass(i == 0 ? 3_000 : 30_000);
+      h.called(e, Outcome.OK);
+      h.end(e, Outcome.OK, h.now - e.arrived);
+    }
+    for (int i = 0; i < 4; i++) {
+      h.need(h.arrive(0));
+    }
+    assertEquals(4, h.calling);
+  }
+
   @Test void timeAtCallsIsNotTakenForACrowdOnTheCores() {
     Host h = below(4, false, CALLS);
     for (int i = 0; i < 60; i++) {
@@ -524,6 +540,21 @@
     assertTrue(h.said >= 4, "said " + h.said); // all four cores, while the others are quiet
   }
 
+  /** Guards requests that other servers can serve: this one can't, and callers with credit here send on. */
+  @Test void aServerFarSlowerThanItWasHasNoCreditToSpare() {
+    Host h = new Host(Sites.crowded(Say.CREDIT, 8), 1);
+    for (int i = 0; i < 120; i++) {
+      Host.Entry e = h.arrive(0);
+      h.pass(i < 60 ? 50_000 : 400_000);
+      h.end(e, Outcome.OK, h.now - e.arrived);
+      h.pass(20_000);
+      if (i == 59) {
+        assertTrue(h.said >= 16, "said " + h.said);
+      }
+    }
+    assertTrue(h.said <= 1, "said " + h.said);
+  }
+
   @Test void creditIsLessThanOneForEachOfManyCallersWhileTheServerRefuses() {
     Host h = new Host(Sites.crowded(Say.CREDIT, 1280), 1);
     h.pass(200_000);
