Take a call turned away for crowding below, and not for a short call

A probe: for 5 s the index turned nearly all calls away within 4 ms, while the few it took ran out of time; then calls of 200 ms for 3 s, two at a time with 17 to 44 waiting. At fault: Policy.called counted the 4 ms as lengths of calls, which hid the jam from the limit on calls out, cut the patience with good calls (8 usual lengths) and set the usual length to 9 ms on one node, so that the limit did not rise again. Changed: a call turned away lowers the limit and no length is learnt from it; what stays slow with the fewest calls out is not slow by them, and becomes usual. Ruled out: the links (the runtime's came back at once), spoilt replies (101 on five nodes), the loop (27 ms). Tests: callsThatAreTurnedAwayAreNoShortCallsButTooMany and the second half of fewerCallsAreOut..., both fail without it.

--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -59,6 +59,7 @@
   private static final double CALLS_SLOW = 3; // usual lengths of a call; from there on fewer are out; ours
   private static final double CALLS_LEAST = 2; // calls; so many may be out in any case; ours
   private static final double CALLS_SHRINK = 0.7; // factor; one step down of the calls out; ours
+  private static final double CALLS_DRIFT = 1.05; // factor a step; rise of what is usual at the least; ours
   private static final int CALL_TRIES = 2; // calls; for one need, where repeating is allowed; ours
   private static final double ALIKE = 0.999; // of a worth; from there on two are worth the same; ours
   private static final int RING = 64; // arrivals; those whose worth is compared; ours
@@ -138,8 +139,9 @@
   double limit;
   private int running;
   private double callTook; // us; smoothed, those given up too
-  private double callUsual; // us; the same over many more calls, and those that are not crowded
+  private double callUsual; // us; the same over many more calls
   private int callsEnded;
+  private boolean turnedAway; // a call, since the last step
   private double callLimit = Double.MAX_VALUE; // calls out at a time
   private int away; // requests at a call: they are off the cores, and will come back
   private double memoryKb;
@@ -206,7 +208,9 @@
     memoryKb += it.kb;
     rates(now);
     arrivals += 1;
-    countTenant(q);
+    for (int t = 0; t < tenantPart.length; t++) {
+      tenantPart[t] += ((t == q.tenant() ? 1 : 0) - tenantPart[t]) / SAMPLE;
+    }
     mechanism();
     lastArrival = now;
     countCaller(now, q.caller());
@@ -281,9 +285,11 @@
     if (it != null && it.state == State.CALLING) {
       boolean neverRan = outcome == Outcome.FULL || outcome == Outcome.UNREACHED;
       callOver(it, outcome == Outcome.OK || outcome == Outcome.ERROR || neverRan);
-      callTook += (tookUs - callTook) * (callTook == 0 ? 1 : 0.1);
-      double newest = callTook > CALLS_SLOW * callUsual ? 0.001 : 0.01; // a lasting change is usual at last
-      callUsual += (callTook - callUsual) * Math.max(newest, 1.0 / ++callsEnded);
+      turnedAway |= outcome == Outcome.FULL;
+      if (!neverRan) { // how soon a call was turned away says nothing of how long calls take
+        callTook += (tookUs - callTook) * (callTook == 0 ? 1 : 0.1);
+        callUsual += (callTook - callUsual) * Math.max(0.002, 1.0 / ++callsEnded);
+      }
       if (outcome == Outcome.OK) {
         it.calls = 0;
         setState(it, State.RUNNING);
@@ -411,12 +417,6 @@
     reuse += (gain - reuse) / SAMPLE;
   }
 
-  private void countTenant(Request q) {
-    for (int t = 0; t < tenantPart.length; t++) {
-      tenantPart[t] += ((t == q.tenant() ? 1 : 0) - tenantPart[t]) / SAMPLE;
-    }
-  }
-
   /**
    * What one more request of this tenant is worth: little once it is served its quota, as far as this
    * server can see, and not the mean over all it sends. Over its quota is only who sends more than its
@@ -546,7 +546,7 @@
       double bestWorth = -1;
       for (int i = 0; i < held.size(); i++) {
         Item it = held.get(i);
-        if (spent(it) || !fits(it)) {
+        if (spent(it) || memoryKb + s.runFactor() * it.q.heldKb() - it.kb > MEMORY_PART * s.memoryKb()) {
           continue;
         }
         if (hopeless(now, it)) {
@@ -570,10 +570,6 @@
     }
   }
 
-  private boolean fits(Item it) {
-    return memoryKb + s.runFactor() * it.q.heldKb() - it.kb <= MEMORY_PART * s.memoryKb();
-  }
-
   private void start(long now, Item it) {
     held.remove(it);
     busy.add(it);
@@ -782,11 +778,13 @@
    * servers' calls jam it. Harm: where it is slow for another cause, calls wait that it could have taken.
    */
   private void adaptCalls() {
-    if (callTook > CALLS_SLOW * callUsual) {
+    if (turnedAway || callTook > CALLS_SLOW * callUsual) {
       callLimit = Math.max(CALLS_LEAST, CALLS_SHRINK * Math.min(callLimit, callsOut()));
+      callUsual *= callLimit > CALLS_LEAST ? 1 : CALLS_DRIFT; // slow with so few out: not by these calls
     } else if (callsOut() >= callLimit) {
       callLimit += GROW;
     }
+    turnedAway = false;
   }
 
   private Item dearestCaller() {
