--- a/src/main/java/rosecleat/core/KeyTable.java
+++ b/src/main/java/rosecleat/core/KeyTable.java
@@ -1,5 +1,7 @@
 package rosecleat.core;
 
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -16,7 +18,7 @@
   /** One request with all its tries. */
   static final class Entry {
     private final Key key;
-    private final int digest;
+    private final byte[] digest;
     private Life owner;
     private long untilUs;
     private boolean ran;
@@ -24,7 +26,7 @@
     private byte[] result;
     private List<Life> waiting = new ArrayList<>();
 
-    private Entry(Key key, int digest) {
+    private Entry(Key key, byte[] digest) {
       this.key = key;
       this.digest = digest;
     }
@@ -73,7 +75,16 @@
   /** Whether a known request with this key carries another body: not a repeat but a mistake. */
   boolean differs(Ask ask) {
     Entry entry = find(ask);
-    return entry != null && entry.digest != Arrays.hashCode(ask.body());
+    return entry != null && !Arrays.equals(entry.digest, digest(ask.body()));
+  }
+
+  /** Guards results against another body that is made to look the same: whoever sends it must not be served them. */
+  private static byte[] digest(byte[] body) {
+    try {
+      return MessageDigest.getInstance("SHA-256").digest(body);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e); // each Java platform has it
+    }
   }
 
   /** Enters a try, or renews its entry; a try whose request ran stays in its place. */
@@ -82,7 +93,7 @@
     Entry entry = entries.get(key);
     if (entry == null || life.ask.atUs() > entry.untilUs) {
       drop(entry);
-      entry = new Entry(key, Arrays.hashCode(life.ask.body()));
+      entry = new Entry(key, digest(life.ask.body()));
       entries.put(key, entry);
     }
     if (!entry.ran) {
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -139,6 +139,16 @@
     assertEquals(1, starts());
   }
 
+  @Test void anotherBodyUnderAKeyIsRefusedHoweverMuchItLooksTheSame() {
+    Try first = send(2, "k", "Aa");
+    Try held = send(2, "k", "BB"); // of one hash code
+    assertEquals(Progress.NOT_SENT, held.failed());
+    end(first, Runner.End.OK, "done");
+    assertEquals(Progress.NOT_SENT, send(2, "k", "BB").failed());
+    assertArrayEquals("done".getBytes(), send(2, "k", "Aa").served());
+    assertEquals(1, starts());
+  }
+
   @Test void aRunThatFailedIsNotRunAgain() {
     Try first = load("a");
     Try second = load("a");
