Open a door for operators: readyz, and a drain that only health checks follow

Seen: a check heard UP 4 s after the call to drain (rule on draining), as nothing listened at mgmt. Ruled out: the node's load (0.31 CPU seconds in its worst second); the door shares the loop.

--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -15,6 +15,7 @@
 import rosecleat.front.uwsgi.UwsgiRunner;
 import rosecleat.index.IndexClient;
 import rosecleat.log.Log;
+import rosecleat.mgmt.Door;
 import rosecleat.net.Clock;
 import rosecleat.net.EventLoop;
 import rosecleat.policy.Decisions;
@@ -42,7 +43,7 @@
   private final Log log;
   private final EventLoop loop;
   private final LongSupplier clock = new Clock();
-  private final Counters counters = new Counters();
+  private final Counters counters;
   private final Core core;
   private final RuntimeLink runtime;
   private final RosterClient roster;
@@ -53,11 +54,17 @@
   private long beatUs = Long.MAX_VALUE;
   private Runnable whenLeft = () -> { };
 
-  /** A node; {@code broker} is null where there is no second front. */
+  /** A node on a loop of its own; {@code broker} is null where there is no second front. */
   Node(NodeConfig config, BrokerConfig broker, Log log) throws IOException {
+    this(config, broker, new EventLoop(log), new Counters(), log);
+  }
+
+  /** A node on a loop that something else may use too. */
+  Node(NodeConfig config, BrokerConfig broker, EventLoop loop, Counters counters, Log log) throws IOException {
     this.config = config;
     this.log = log;
-    loop = new EventLoop(log);
+    this.loop = loop;
+    this.counters = counters;
     try {
       SettingsReader.Start start = broker == null ? config.start() : broker.start();
       PolicyApi.Settings settings = start.settings();
@@ -69,7 +76,7 @@
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
       Runner runner = runtime == null ? new NoRuntime(loop, core) : runtime;
       roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
-      int others = OWN_SOCKETS + (broker == null ? 0 : 2 * broker.connections());
+      int others = OWN_SOCKETS + (config.mgmt() == null ? 0 : Door.SOCKETS) + (broker == null ? 0 : 2 * broker.connections());
       int known = config.start().classes().size(); // contracts add theirs behind; balancers can't name those
       resp = new RespFront(loop, config.listen(), Math.max(1, config.sockets() - others), core,
           new RespFront.Names(classes.subList(0, known), config.start().tenants(), runner), clock, log);
@@ -124,6 +131,11 @@
     });
   }
 
+  /** Whether requests that come now are served; for use on the node's thread. */
+  boolean serving() {
+    return core.ready() && !core.draining();
+  }
+
   /** The port for balancers. */
   int port() {
     return resp.port();
--- a/src/main/java/rosecleat/cli/Reload.java
+++ b/src/main/java/rosecleat/cli/Reload.java
@@ -1,6 +1,7 @@
 package rosecleat.cli;
 
 import java.lang.reflect.Proxy;
+import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import rosecleat.config.ConfigException;
@@ -70,6 +71,7 @@
       return;
     }
     if (!fresh.name().equals(inForce.name()) || !fresh.listen().equals(inForce.listen())
+        || !Objects.equals(fresh.mgmt(), inForce.mgmt())
         || (fresh.runtime() == null) != (inForce.runtime() == null)) {
       log.warn("told to reload, but the old configuration stays: its name, where it listens and whether it has"
           + " a runtime need a restart");
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -6,7 +6,10 @@
 import java.util.function.Supplier;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.NodeConfig;
+import rosecleat.core.Counters;
 import rosecleat.log.Log;
+import rosecleat.mgmt.Door;
+import rosecleat.net.EventLoop;
 
 /** The process round a node: keeps it alive, and takes its leave on SIGTERM. */
 final class Serving {
@@ -36,13 +39,21 @@
     Log log = new Log(System.err);
     Reload reload = new Reload(config, reader, log);
     reload.install(); // before it listens: from then on a signal may come
+    EventLoop loop = new EventLoop(log);
+    Counters counters = new Counters();
+    Operators operators = new Operators();
+    if (config.mgmt() != null) { // open before the warm-up: operators may ask how far it is
+      new Door(loop, config.mgmt(), operators, counters, log);
+      log.info("operators are heard at " + config.mgmt());
+    }
     if (config.runtime() != null) {
       Warmup.play(config);
     }
-    Node node = new Node(config, broker, log);
+    Node node = new Node(config, broker, loop, counters, log);
     Serving serving = new Serving(config, node, log);
     new Thread(serving::stay, "stay").start();
     Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
+    node.onLoop(() -> operators.serve(node));
     node.start();
     reload.tell(node::reload);
     if (countersEvery > 0) {
--- a/src/main/java/rosecleat/config/NodeConfig.java
+++ b/src/main/java/rosecleat/config/NodeConfig.java
@@ -12,15 +12,15 @@
 /**
  * What one card node is told at its start.
  *
- * <p>{@code roster}, {@code index} and {@code runtime} are null where the file does not name them.
+ * <p>{@code mgmt}, {@code roster}, {@code index} and {@code runtime} are null where the file does not name them.
  */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress runtime,
-    InetSocketAddress roster, InetSocketAddress index, long seed, long stopUs, int sockets,
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress mgmt,
+    InetSocketAddress runtime, InetSocketAddress roster, InetSocketAddress index, long seed, long stopUs, int sockets,
     SettingsReader.Start start) {
   private static final int DEFAULT_SOCKETS = 1024;
   private static final long DEFAULT_STOP_MS = 3_000;
 
-  /** Reads the file that PROXY_CONFIG names; PROXY_NAME and PROXY_LISTEN stand in for what it lacks. */
+  /** Reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_MGMT stand in for what it lacks. */
   public static NodeConfig fromEnvironment(Map<String, String> env) {
     String path = env.get("PROXY_CONFIG");
     if (path == null || path.isBlank()) {
@@ -54,11 +54,12 @@
     if (listen == null) {
       throw new ConfigException("the configuration lacks listen");
     }
+    InetSocketAddress mgmt = address(root.path("mgmt").asText(env.getOrDefault("PROXY_MGMT", "")), "mgmt");
     JsonNode settings = root.path("settings");
     if (!settings.isObject()) {
       throw new ConfigException("the configuration lacks settings");
     }
-    return new NodeConfig(name, listen, address(root.path("runtime").asText(""), "runtime"),
+    return new NodeConfig(name, listen, mgmt, address(root.path("runtime").asText(""), "runtime"),
         address(root.path("roster").asText(""), "roster"), address(root.path("index").asText(""), "index"),
         seed(root.path("seed").asText("0")),
         positive(root.path("stop_ms").asLong(DEFAULT_STOP_MS), "stop_ms") * 1000,
--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -39,6 +39,7 @@
   private boolean draining;
   private boolean obeying;
   private boolean good = true;
+  private boolean aside;
   private double credit = Double.NaN;
   private long idleUs;
   private double busy;
@@ -63,9 +64,22 @@
     return decisions.begun();
   }
 
-  /** What health checks are told. */
+  /** What health checks are told: bad where the module or an operator says so. */
   public boolean good() {
-    return good;
+    return good && !aside;
+  }
+
+  /**
+   * Operators send clients away, or take them again. Only health checks follow it: whatever still comes is run and
+   * answered as ever.
+   */
+  public void setAside(boolean away) {
+    if (away != aside) {
+      aside = away;
+      counters.add(away ? "operators.drains" : "operators.activations");
+      log.info(away ? "an operator sends clients away: health checks are answered as bad"
+          : "an operator takes clients again: health checks are answered as good");
+    }
   }
 
   /** The value that goes with answers; not a number while there is none. */
--- a/src/test/java/rosecleat/ArchitectureTest.java
+++ b/src/test/java/rosecleat/ArchitectureTest.java
@@ -31,14 +31,14 @@
   }
 
   @Test void theCoreKnowsNoFrontAndNoNetwork() throws IOException {
-    String wires = ".*(rosecleat\\.(front|net|runtime|index|roster|cli|config|benchlink)\\b|java\\.nio\\.channels|"
+    String wires = ".*(rosecleat\\.(front|net|runtime|index|roster|mgmt|cli|config|benchlink)\\b|java\\.nio\\.channels|"
         + "java\\.net\\.).*";
     assertEquals(List.of(), lines("core", wires));
     assertEquals(List.of(), lines("policy", wires));
   }
 
   @Test void theNetworkKnowsNothingOfTheModule() throws IOException {
-    for (String folder : List.of("net", "front", "runtime", "index", "roster")) {
+    for (String folder : List.of("net", "front", "runtime", "index", "roster", "mgmt")) {
       assertEquals(List.of(), lines(folder, ".*(PolicyApi|rosecleat\\.policy).*"), folder);
     }
   }
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -315,6 +315,32 @@
     assertEquals("PUT /roster/t1 HTTP/1.1 {\"duty\":\"on\"}", roster.reports.get(0));
   }
 
+  /** Guards a drain by call against that of SIGTERM: only health checks may hear of it, and nothing is turned away. */
+  @Test void whatOperatorsSayReachesHealthChecksAloneAndEndsWithTheirWord() throws IOException {
+    startReady();
+    Operators operators = new Operators();
+    operators.drain(); // before the node stands
+    node.onLoop(() -> operators.serve(node));
+    for (int round = 0; round < 2; round++) { // told twice is told once
+      node.onLoop(operators::drain);
+      assertEquals("DOWN", check());
+      assertEquals("OK", answer("balance-check").get(1));
+    }
+    reload();
+    assertEquals("DOWN", check());
+    assertEquals(0, client.byes);
+    assertEquals(true, ask(core -> operators.ready()));
+    node.onLoop(operators::activate);
+    assertEquals("UP", check());
+    assertEquals(1, count("operators.drains"));
+    assertTrue(roster.reports.stream().noneMatch(r -> r.contains("off")), roster.reports.toString());
+  }
+
+  private String check() throws IOException {
+    client.send(RespClient.array("PING", 999, ""));
+    return client.answer().get(1);
+  }
+
   @Test void theNoticeToLeaveIsReportedAtOnce() throws Exception {
     startReady();
     await(() -> count("roster.reports") > 0);
