Let settings change at SIGHUP: the whole file is checked, then all of it applies

Seen: after SIGHUP requests of new classes failed as unknown, and a connection was shut at its 64th mistake with requests open on it (147 lost). A file with a deadline of -5, a runtime that does not exist and every class renamed was taken for its addresses: the link stayed down for 8 s ('work stands still with 12 on the cores'). Lines at fault: Reload and Node.reload took addresses alone, SettingsReader defaults what is no number, RespFront counted mistakes over a connection's whole life. Changed: ConfigCheck and checkAfter, Numbers and Numbering, Policy.retuned; mistakes count in a row. Ruled out: a leak of numbers (30 reloads with other names in LinksTest, a model in NumbersTest). Tests: ReloadTest (15 bad files), NumbersTest, LinksTest (open requests keep their class, keys outlast a reload).

--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -30,7 +30,12 @@
     @Parameter(names = "--counters", description = "log the counters every so many seconds")
     private int countersEvery;
 
-    BrokerConfig broker(NodeConfig config) {
+    Setup setup(Map<String, String> env) {
+      NodeConfig config = NodeConfig.fromEnvironment(env);
+      return new Setup(config, broker(config));
+    }
+
+    private BrokerConfig broker(NodeConfig config) {
       if (broker == null) {
         if (config.runtime() == null) {
           throw new ConfigException("the configuration names no runtime, and there is no broker's file");
@@ -87,18 +92,16 @@
       }
       switch (word) {
         case "serve" -> {
-          NodeConfig config = NodeConfig.fromEnvironment(env);
-          return Serving.start(config, () -> NodeConfig.fromEnvironment(env), serve.broker(config), serve.countersEvery);
+          return Serving.start(serve.setup(env), () -> serve.setup(env), serve.countersEvery);
         }
         case "benchlink" -> {
           System.setOut(System.err);
           return rosecleat.benchlink.Main.run(args, in, out);
         }
         case "check" -> {
-          NodeConfig config = NodeConfig.fromEnvironment(env);
-          BrokerConfig broker = check.as.broker(config);
-          print(out, "the configuration of " + config.name() + " can be used"
-              + (broker == null ? "" : ", and so can its " + broker.operations().size() + " contracts"));
+          Setup setup = check.as.setup(env);
+          print(out, "the configuration of " + setup.node().name() + " can be used"
+              + (setup.broker() == null ? "" : ", and so can its " + setup.broker().operations().size() + " contracts"));
         }
         case "rehearse" -> {
           return Rehearsal.run(NodeConfig.fromEnvironment(env)) ? 0 : 1;
--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -1,12 +1,10 @@
 package rosecleat.cli;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.NodeConfig;
-import rosecleat.config.SettingsReader;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Runner;
@@ -19,15 +17,12 @@
 import rosecleat.net.Clock;
 import rosecleat.net.EventLoop;
 import rosecleat.policy.Decisions;
-import rosecleat.policy.PolicyApi;
 import rosecleat.roster.RosterClient;
 import rosecleat.runtime.NoRuntime;
 import rosecleat.runtime.RuntimeLink;
 
 /** The parts of one node put together: the core, its fronts and its links, all on one loop. */
 final class Node implements AutoCloseable {
-  /** Results of keyed requests kept for their repeats, all together (bytes). */
-  private static final long RESULT_BYTES = 8 << 20;
   /** Descriptors that are not balancers' connections: links, the jar, the libraries, some room. */
   private static final int OWN_SOCKETS = 64;
   /** The node is gone so long before it would be killed (us). */
@@ -39,12 +34,15 @@
   /** When no connection has come for so long, none is expected any more (us). */
   private static final long CALM_US = 500_000;
 
-  private final NodeConfig config;
+  private volatile NodeConfig config;
   private final Log log;
   private final EventLoop loop;
   private final LongSupplier clock = new Clock();
   private final Counters counters;
+  private final Numbering numbering;
+  private final Decisions decisions;
   private final Core core;
+  private final Runner runner;
   private final RuntimeLink runtime;
   private final RosterClient roster;
   private final IndexClient index;
@@ -66,21 +64,18 @@
     this.loop = loop;
     this.counters = counters;
     try {
-      SettingsReader.Start start = broker == null ? config.start() : broker.start();
-      PolicyApi.Settings settings = start.settings();
-      Core.Rules rules = rules(start);
-      List<Core.Klass> classes = rules.classes();
+      numbering = new Numbering(new Setup(config, broker));
       index = new IndexClient(loop, config.index(), clock, counters, log);
-      core = new Core(rules, new Decisions(settings, start.gauges(), config.seed()), index, clock, counters, log);
+      decisions = new Decisions(numbering.settings(), numbering.gauges(), config.seed());
+      core = new Core(numbering.rules(), decisions, index, clock, counters, log);
       index.tell(core);
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
-      Runner runner = runtime == null ? new NoRuntime(loop, core) : runtime;
+      runner = runtime == null ? new NoRuntime(loop, core) : runtime;
       roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
       int others = OWN_SOCKETS + (config.mgmt() == null ? 0 : Door.SOCKETS) + (broker == null ? 0 : 2 * broker.connections());
-      int known = config.start().classes().size(); // contracts add theirs behind; balancers can't name those
       resp = new RespFront(loop, config.listen(), Math.max(1, config.sockets() - others), core,
-          new RespFront.Names(classes.subList(0, known), config.start().tenants(), runner), clock, log);
-      uwsgi = broker == null ? null : new UwsgiFront(loop, broker, core, runner,
+          numbering.names(runner), clock, log);
+      uwsgi = broker == null ? null : new UwsgiFront(loop, numbering.broker(), core, runner,
           new UwsgiRunner(loop, core, clock, broker.limits().replyBytes()), clock, log, ~config.seed());
     } catch (IOException | RuntimeException e) {
       loop.close();
@@ -88,24 +83,6 @@
     }
   }
 
-  /** What a core works under at these settings. */
-  static Core.Rules rules(SettingsReader.Start start) {
-    PolicyApi.Settings settings = start.settings();
-    return new Core.Rules(settings.cores(), classes(start), settings.slackUs(), settings.graceUs(), settings.idleUs(),
-        RESULT_BYTES);
-  }
-
-  private static List<Core.Klass> classes(SettingsReader.Start start) {
-    List<Core.Klass> classes = new ArrayList<>();
-    List<PolicyApi.Klass> grades = start.settings().classes();
-    for (int i = 0; i < grades.size(); i++) {
-      PolicyApi.Klass grade = grades.get(i);
-      classes.add(new Core.Klass(start.classes().get(i), grade.effect() == PolicyApi.Effect.KEYED,
-          grade.calls(), grade.windowUs(), grade.dueUs()));
-    }
-    return List.copyOf(classes);
-  }
-
   /** Opens the links and begins to serve. */
   void start() {
     loop.execute(() -> {
@@ -172,11 +149,26 @@
     });
   }
 
-  /** New addresses of the runtime, the index and the roster; all else of a configuration needs a restart. */
-  void reload(NodeConfig fresh) {
+  /** How long the process has from the notice to leave (us). */
+  long stopUs() {
+    return config.stopUs();
+  }
+
+  /** New files, checked already: settings, contracts and the addresses of the links take effect together. */
+  void reload(Setup setup) {
     loop.execute(() -> {
+      NodeConfig fresh = setup.node();
+      config = fresh;
       counters.add("reloads");
-      log.info("reloaded: runtime " + fresh.runtime() + ", index " + fresh.index() + ", roster " + fresh.roster());
+      log.info("reloaded: classes " + fresh.start().classes() + ", runtime " + fresh.runtime() + ", index "
+          + fresh.index() + ", roster " + fresh.roster());
+      List<Integer> renamed = numbering.take(setup, core::usesClass, core::usesTenant);
+      decisions.retune(clock.getAsLong(), numbering.settings(), numbering.gauges(), renamed);
+      core.use(numbering.rules());
+      resp.use(numbering.names(runner));
+      if (uwsgi != null) {
+        uwsgi.use(numbering.broker());
+      }
       if (runtime != null) {
         runtime.moveTo(fresh.runtime());
       }
--- a/src/main/java/rosecleat/cli/Rehearsal.java
+++ b/src/main/java/rosecleat/cli/Rehearsal.java
@@ -43,7 +43,7 @@
     Listener runtime = new Listener(loop, any, 1, LIMITS, this::runtime);
     InetSocketAddress at = new InetSocketAddress(any.getAddress(), runtime.port());
     try (Node node = new Node(new NodeConfig(config.name(), any, null, at, null, null, config.seed(), config.stopUs(),
-        config.sockets(), config.start()), null, log)) {
+        config.sockets(), config.start(), config.file()), null, log)) {
       node.start();
       loop.after(200_000, () -> balancer(config, new InetSocketAddress(any.getAddress(), node.port())));
       return answers.await(PATIENCE_S, TimeUnit.SECONDS);
--- a/src/main/java/rosecleat/cli/Reload.java
+++ b/src/main/java/rosecleat/cli/Reload.java
@@ -1,26 +1,24 @@
 package rosecleat.cli;
 
 import java.lang.reflect.Proxy;
-import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import rosecleat.config.ConfigException;
-import rosecleat.config.NodeConfig;
 import rosecleat.log.Log;
 
 /**
- * SIGHUP: the configuration file is read anew, and the addresses in it take effect. Without a handler the virtual
- * machine ends on this signal.
+ * SIGHUP: the configuration is read anew and checked whole, and takes effect or changes nothing. Without a handler the
+ * virtual machine ends on this signal.
  */
 final class Reload {
-  private final Supplier<NodeConfig> reader;
+  private final Supplier<Setup> reader;
   private final Log log;
-  private NodeConfig inForce;
-  private Consumer<NodeConfig> taker;
+  private Setup inForce;
+  private Consumer<Setup> taker;
   private boolean early;
 
   /** Reloads by a reader that throws {@link ConfigException} for a file that can't be used. */
-  Reload(NodeConfig inForce, Supplier<NodeConfig> reader, Log log) {
+  Reload(Setup inForce, Supplier<Setup> reader, Log log) {
     this.inForce = inForce;
     this.reader = reader;
     this.log = log;
@@ -47,7 +45,7 @@
   }
 
   /** Names who is told of a new configuration. */
-  synchronized void tell(Consumer<NodeConfig> to) {
+  synchronized void tell(Consumer<Setup> to) {
     taker = to;
     if (early) {
       reload();
@@ -63,20 +61,14 @@
       early = true;
       return;
     }
-    NodeConfig fresh;
+    Setup fresh;
     try {
       fresh = reader.get();
+      fresh.checkAfter(inForce);
     } catch (ConfigException e) {
       log.warn("told to reload, but the old configuration stays: " + e.getMessage());
       return;
     }
-    if (!fresh.name().equals(inForce.name()) || !fresh.listen().equals(inForce.listen())
-        || !Objects.equals(fresh.mgmt(), inForce.mgmt())
-        || (fresh.runtime() == null) != (inForce.runtime() == null)) {
-      log.warn("told to reload, but the old configuration stays: its name, where it listens and whether it has"
-          + " a runtime need a restart");
-      return;
-    }
     inForce = fresh;
     taker.accept(fresh);
   }
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import rosecleat.config.BrokerConfig;
 import rosecleat.config.NodeConfig;
 import rosecleat.core.Counters;
 import rosecleat.log.Log;
@@ -19,13 +18,11 @@
   /** The process ends so long before it would be killed, whatever the node is doing (us). */
   private static final long EARLY_US = 75_000;
 
-  private final NodeConfig config;
   private final Node node;
   private final Log log;
   private final CountDownLatch left = new CountDownLatch(1);
 
-  private Serving(NodeConfig config, Node node, Log log) {
-    this.config = config;
+  private Serving(Node node, Log log) {
     this.node = node;
     this.log = log;
   }
@@ -34,10 +31,10 @@
    * Starts a node, which logs its counters so often (seconds, 0 for never) and reads its configuration anew on
    * SIGHUP; it goes on after this returns.
    */
-  static int start(NodeConfig config, Supplier<NodeConfig> reader, BrokerConfig broker, int countersEvery)
-      throws IOException {
+  static int start(Setup setup, Supplier<Setup> reader, int countersEvery) throws IOException {
+    NodeConfig config = setup.node();
     Log log = new Log(System.err);
-    Reload reload = new Reload(config, reader, log);
+    Reload reload = new Reload(setup, reader, log);
     reload.install(); // before it listens: from then on a signal may come
     EventLoop loop = new EventLoop(log);
     Counters counters = new Counters();
@@ -49,8 +46,8 @@
     if (config.runtime() != null) {
       Warmup.play(config);
     }
-    Node node = new Node(config, broker, loop, counters, log);
-    Serving serving = new Serving(config, node, log);
+    Node node = new Node(config, setup.broker(), loop, counters, log);
+    Serving serving = new Serving(node, log);
     new Thread(serving::stay, "stay").start();
     Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
     node.onLoop(() -> operators.serve(node));
@@ -75,7 +72,7 @@
   private void leave() {
     node.leave(left::countDown);
     try {
-      if (!left.await(config.stopUs() - EARLY_US, TimeUnit.MICROSECONDS)) {
+      if (!left.await(node.stopUs() - EARLY_US, TimeUnit.MICROSECONDS)) {
         log.warn("the time to leave ran out");
       }
     } catch (InterruptedException e) {
--- /dev/null
+++ b/src/main/java/rosecleat/cli/Setup.java
@@ -0,0 +1,17 @@
+package rosecleat.cli;
+
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.ConfigException;
+import rosecleat.config.NodeConfig;
+
+/** All that a node is told by files: its configuration, and that of its second front, null where it has none. */
+record Setup(NodeConfig node, BrokerConfig broker) {
+  /** Checks that this may take the place of another in a running process. */
+  void checkAfter(Setup before) {
+    node.checkAfter(before.node);
+    if (broker != null && (!broker.listen().equals(before.broker.listen())
+        || broker.connections() != before.broker.connections() || !broker.limits().equals(before.broker.limits()))) {
+      throw new ConfigException("where the second front listens and its limits need a restart");
+    }
+  }
+}
--- a/src/main/java/rosecleat/cli/Warmup.java
+++ b/src/main/java/rosecleat/cli/Warmup.java
@@ -9,7 +9,6 @@
 import rosecleat.core.Counters;
 import rosecleat.core.Ledger;
 import rosecleat.core.Runner;
-import rosecleat.front.resp.RespFront;
 import rosecleat.front.resp.RespWarmup;
 import rosecleat.log.Log;
 import rosecleat.policy.Decisions;
@@ -66,12 +65,12 @@
   private long lives(NodeConfig config) {
     long endNs = System.nanoTime() + LONGEST_NS;
     Counters counters = new Counters();
-    Core.Rules rules = Node.rules(config.start());
+    Numbering numbering = new Numbering(new Setup(config, null));
     try (Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()))) {
-      core = new Core(rules, new Decisions(config.start().settings(), config.start().gauges(), config.seed()), ledger,
+      core = new Core(numbering.rules(), new Decisions(numbering.settings(), numbering.gauges(), config.seed()), ledger,
           () -> nowUs, counters, quiet);
       core.begin(runner, false, 0);
-      RespWarmup front = new RespWarmup(new RespFront.Names(rules.classes(), config.start().tenants(), runner));
+      RespWarmup front = new RespWarmup(numbering.names(runner));
       for (int n = 1; n <= REQUESTS && System.nanoTime() < endNs; n++) {
         front.request(core, n, nowUs);
         nowUs += STEP_US;
--- a/src/main/java/rosecleat/config/BrokerConfig.java
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -42,6 +42,17 @@
       boolean keyed, long deadlineUs, double kb, double rank, InetSocketAddress backend,
       Map<String, Integer> tenants) { }
 
+  /** The same with other numbers for its classes and tenants: what stood at a position goes by the number there. */
+  public BrokerConfig renumbered(List<Integer> classNumbers, List<Integer> tenantNumbers) {
+    List<Operation> all = operations.stream().map(o -> {
+      Map<String, Integer> teams = new HashMap<>();
+      o.tenants.forEach((team, tenant) -> teams.put(team, tenantNumbers.get(tenant)));
+      return new Operation(o.id, o.method, o.path, o.contentType, o.kind, classNumbers.get(o.klass), o.keyed,
+          o.deadlineUs, o.kb, o.rank, o.backend, Map.copyOf(teams));
+    }).toList();
+    return new BrokerConfig(listen, connections, limits, vars, all, start);
+  }
+
   private static final String RUNTIME = "runtime";
   private static final String UWSGI = "uwsgi://";
 
--- a/src/main/java/rosecleat/config/NodeConfig.java
+++ b/src/main/java/rosecleat/config/NodeConfig.java
@@ -1,6 +1,8 @@
 package rosecleat.config;
 
 import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -8,15 +10,19 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * What one card node is told at its start.
  *
- * <p>{@code mgmt}, {@code roster}, {@code index} and {@code runtime} are null where the file does not name them.
+ * <p>{@code mgmt}, {@code roster}, {@code index} and {@code runtime} are null where the file does not name them;
+ * {@code file} is what was read.
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress mgmt,
     InetSocketAddress runtime, InetSocketAddress roster, InetSocketAddress index, long seed, long stopUs, int sockets,
-    SettingsReader.Start start) {
+    SettingsReader.Start start, JsonNode file) {
+  private static final ObjectMapper STRICT = new ObjectMapper()
+      .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
   private static final int DEFAULT_SOCKETS = 1024;
   private static final long DEFAULT_STOP_MS = 3_000;
 
@@ -39,13 +45,14 @@
   public static NodeConfig parse(String text, Map<String, String> env) {
     JsonNode root;
     try {
-      root = new ObjectMapper().readTree(text);
+      root = STRICT.readTree(text);
     } catch (JacksonException e) {
       throw new ConfigException("the configuration is not JSON");
     }
     if (root == null || !root.isObject()) {
       throw new ConfigException("the configuration is not a JSON object");
     }
+    ConfigCheck.check(root);
     String name = root.path("name").asText(env.getOrDefault("PROXY_NAME", ""));
     if (!name.matches("[A-Za-z0-9._-]{1,64}")) {
       throw new ConfigException("the configuration lacks a usable name");
@@ -64,7 +71,19 @@
         seed(root.path("seed").asText("0")),
         positive(root.path("stop_ms").asLong(DEFAULT_STOP_MS), "stop_ms") * 1000,
         (int) positive(root.path("limits").path("sockets").asLong(DEFAULT_SOCKETS), "limits.sockets"),
-        new SettingsReader().read(settings.toString()));
+        new SettingsReader().read(settings.toString()), root);
+  }
+
+  /**
+   * Checks that this configuration may take the place of another in a running process: it has every key that the other
+   * has, and what needs a restart is the same.
+   */
+  public void checkAfter(NodeConfig before) {
+    ConfigCheck.sameKeys(before.file, file, "");
+    if (!name.equals(before.name) || !listen.equals(before.listen) || !Objects.equals(mgmt, before.mgmt)
+        || (runtime == null) != (before.runtime == null)) {
+      throw new ConfigException("its name, where it listens and whether it has a runtime need a restart");
+    }
   }
 
   private static long positive(long value, String what) {
--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -18,14 +18,14 @@
   /** What the core needs to know of a class; {@code calls} where each run stands still at a call before it ends. */
   public record Klass(String name, boolean keyed, boolean calls, long windowUs, long dueUs) { }
 
-  /** Figures the core works under: microseconds and bytes. */
-  public record Rules(int cores, List<Klass> classes, long slackUs, long graceUs, long idleUs, long resultBytes) { }
+  /** Figures the core works under: microseconds and bytes; classes, and the names of tenants, by their numbers. */
+  public record Rules(int cores, List<Klass> classes, List<String> tenants, long slackUs, long graceUs, long idleUs, long resultBytes) { }
 
   private static final long TICK_US = 20_000;
   private static final long EXPIRE_US = 1_000_000;
   private static final double RECKON_US = 500_000;
 
-  private final Rules rules;
+  private Rules rules;
   private final Decisions decisions;
   private final Ledger ledger;
   private final LongSupplier clock;
@@ -122,8 +122,24 @@
     return counters;
   }
 
+  /** Whether a request in hand goes by a number of a class. */
+  public boolean usesClass(int klass) {
+    return work.all().stream().anyMatch(life -> life.ask.klass() == klass);
+  }
+
+  /** Whether a request in hand goes by a number of a tenant. */
+  public boolean usesTenant(int tenant) {
+    return work.all().stream().anyMatch(life -> life.ask.tenant() == tenant);
+  }
+
   // ---- what happens
 
+  /** Other rules from now on. What is in hand keeps the class it came with. */
+  public void use(Rules fresh) {
+    rules = fresh;
+    work.use(fresh);
+  }
+
   /** The cores are up, since some time; {@code runner} is the one to ask for gauges, null for none. */
   public void begin(Runner runner, boolean cold, long tookUs) {
     gauged = runner;
@@ -139,7 +155,7 @@
     long now = clock.getAsLong();
     Klass klass = rules.classes().get(ask.klass());
     long waitUs = ask.waitUs() > 0 ? ask.waitUs() : klass.dueUs();
-    Life life = new Life(++lastSeq, ask, ask.atUs() + waitUs);
+    Life life = new Life(++lastSeq, ask, klass, tenant(ask), ask.atUs() + waitUs);
     if (!decisions.begun()) {
       work.answer(life, new Answer.Refused(0, false));
       return () -> { };
@@ -155,6 +171,10 @@
     return () -> gone(life);
   }
 
+  private String tenant(Ask ask) {
+    return ask.tenant() < rules.tenants().size() ? rules.tenants().get(ask.tenant()) : "";
+  }
+
   /** Withdraws a request. */
   public interface Handle {
     /** Its caller has gone: no answer is owed. */
--- a/src/main/java/rosecleat/core/KeyTable.java
+++ b/src/main/java/rosecleat/core/KeyTable.java
@@ -42,40 +42,45 @@
     }
   }
 
-  private record Key(String kind, int tenant, String once) { }
+  /** By names, which outlast the numbers of classes and tenants. */
+  private record Key(String kind, String tenant, String once) { }
 
-  private final long lateUs;
+  private long lateUs;
   private final long resultBytes;
   private final Map<Key, Entry> entries = new HashMap<>();
   private final ArrayDeque<Entry> results = new ArrayDeque<>();
   private long held;
 
-  /** A table that keeps lapsed entries {@code lateUs} longer, for tries that are read late. */
-  KeyTable(long lateUs, long resultBytes) {
-    this.lateUs = lateUs;
+  /** A table that keeps so many bytes of results. */
+  KeyTable(long resultBytes) {
     this.resultBytes = resultBytes;
   }
 
-  private static Key key(Ask ask) {
-    return new Key(ask.kind(), ask.tenant(), ask.once());
+  /** Lapsed entries are kept so much longer, for tries that are read late. */
+  void keepLate(long us) {
+    lateUs = us;
+  }
+
+  private static Key key(Life life) {
+    return new Key(life.ask.kind(), life.tenant, life.ask.once());
   }
 
   /** The entry that was in force when the request came to the machine, or null. */
-  Entry find(Ask ask) {
-    Entry entry = entries.get(key(ask));
-    return entry == null || ask.atUs() > entry.untilUs ? null : entry;
+  Entry find(Life life) {
+    Entry entry = entries.get(key(life));
+    return entry == null || life.ask.atUs() > entry.untilUs ? null : entry;
   }
 
   /** The number of the kept try that this one repeats, 0 for new work. */
-  long original(Ask ask) {
-    Entry entry = find(ask);
+  long original(Life life) {
+    Entry entry = find(life);
     return entry != null && (entry.ran || entry.owner.state == Life.State.HELD) ? entry.owner.seq : 0;
   }
 
   /** Whether a known request with this key carries another body: not a repeat but a mistake. */
-  boolean differs(Ask ask) {
-    Entry entry = find(ask);
-    return entry != null && !Arrays.equals(entry.digest, digest(ask.body()));
+  boolean differs(Life life) {
+    Entry entry = find(life);
+    return entry != null && !Arrays.equals(entry.digest, digest(life.ask.body()));
   }
 
   /** Guards results against another body that is made to look the same: whoever sends it must not be served them. */
@@ -89,7 +94,7 @@
 
   /** Enters a try, or renews its entry; a try whose request ran stays in its place. */
   void keep(Life life, long untilUs) {
-    Key key = key(life.ask);
+    Key key = key(life);
     Entry entry = entries.get(key);
     if (entry == null || life.ask.atUs() > entry.untilUs) {
       drop(entry);
@@ -105,12 +110,12 @@
   /** A try is about to run: its entry stays in force until {@code untilUs} at least. */
   void running(Life life, long untilUs) {
     keep(life, untilUs);
-    entries.get(key(life.ask)).ran = true;
+    entries.get(key(life)).ran = true;
   }
 
   /** Takes out the entry of a try that never ran. */
   void forget(Life life) {
-    Entry entry = entries.get(key(life.ask));
+    Entry entry = entries.get(key(life));
     if (entry != null && entry.owner == life && !entry.ran) {
       entries.remove(entry.key);
     }
@@ -118,7 +123,7 @@
 
   /** The run of a try is over, with its result or without (null). Returns those that waited for it. */
   List<Life> ended(Life life, byte[] result) {
-    Entry entry = entries.get(key(life.ask));
+    Entry entry = entries.get(key(life));
     if (entry == null || entry.owner != life) {
       return List.of();
     }
@@ -138,7 +143,7 @@
 
   /** The run of a try is proven never to have begun: forgets it, and returns those that waited for it. */
   List<Life> neverRan(Life life) {
-    Entry entry = entries.get(key(life.ask));
+    Entry entry = entries.get(key(life));
     if (entry == null || entry.owner != life) {
       return List.of();
     }
--- a/src/main/java/rosecleat/core/Life.java
+++ b/src/main/java/rosecleat/core/Life.java
@@ -20,6 +20,9 @@
 
   final long seq;
   final Ask ask;
+  /** The class it came with; settings that change later change nothing of it. */
+  final Core.Klass klass;
+  final String tenant;
   final long dueUs;
   State state = State.HELD;
   boolean ran;
@@ -30,9 +33,11 @@
   byte[] callBody;
   private boolean owed = true;
 
-  Life(long seq, Ask ask, long dueUs) {
+  Life(long seq, Ask ask, Core.Klass klass, String tenant, long dueUs) {
     this.seq = seq;
     this.ask = ask;
+    this.klass = klass;
+    this.tenant = tenant;
     this.dueUs = dueUs;
   }
 
--- a/src/main/java/rosecleat/core/Work.java
+++ b/src/main/java/rosecleat/core/Work.java
@@ -16,7 +16,7 @@
   /** A run that has not ended so long after its answer was due is not waited for any more (us). */
   private static final long LOST_US = 30_000_000;
 
-  private final Core.Rules rules;
+  private Core.Rules rules;
   private final Ledger ledger;
   private final LongSupplier clock;
   private final Counters counters;
@@ -28,14 +28,19 @@
 
   /** Nothing in hand yet; what happens to requests here is reported to the module. */
   Work(Core.Rules rules, Ledger ledger, LongSupplier clock, Counters counters, Log log, Consumer<Report> reports) {
-    this.rules = rules;
     this.ledger = ledger;
     this.clock = clock;
     this.counters = counters;
     this.log = log;
     this.reports = reports;
-    long longest = rules.classes().stream().mapToLong(Core.Klass::dueUs).max().orElse(0);
-    keys = new KeyTable(longest, rules.resultBytes());
+    keys = new KeyTable(rules.resultBytes());
+    use(rules);
+  }
+
+  /** Other rules from now on; what is in hand keeps its class. */
+  void use(Core.Rules fresh) {
+    rules = fresh;
+    keys.keepLate(fresh.classes().stream().mapToLong(Core.Klass::dueUs).max().orElse(0));
   }
 
   // ---- what is in hand
@@ -65,7 +70,7 @@
     if (byId.containsKey(life.ask.id())) { // two runs under one name could not be told apart
       return "a request of this id is in hand";
     }
-    if (keyed(life) && keys.differs(life.ask)) {
+    if (keyed(life) && keys.differs(life)) {
       return "the key belongs to another body";
     }
     lives.put(life.seq, life);
@@ -75,7 +80,7 @@
 
   /** The number of the kept try that a request repeats, 0 for none. */
   long original(Life life) {
-    return keyed(life) ? keys.original(life.ask) : 0;
+    return keyed(life) ? keys.original(life) : 0;
   }
 
   /** Drops keys that have lapsed, and runs whose end was lost. */
@@ -107,8 +112,8 @@
       return;
     }
     if (keyed(life)) {
-      KeyTable.Entry known = keys.find(life.ask);
-      if (life.ran || known != null && keys.original(life.ask) != 0 && keys.original(life.ask) != life.seq) {
+      KeyTable.Entry known = keys.find(life);
+      if (life.ran || known != null && keys.original(life) != 0 && keys.original(life) != life.seq) {
         log.warn("a run of a keyed request that may have run was not started");
         answer(life, failed(Progress.MAY_HAVE_RUN, "another try may have run", Answer.Cause.BACKEND));
         settle(life, RunOutcome.MOOT, 0); // the module takes it for running
@@ -124,7 +129,7 @@
   }
 
   private long keyUntil(Life life) {
-    return life.ask.atUs() + rules.classes().get(life.ask.klass()).windowUs() + rules.slackUs() + SOCKET_SLACK_US;
+    return life.ask.atUs() + life.klass.windowUs() + rules.slackUs() + SOCKET_SLACK_US;
   }
 
   /** Only a try that never ran is turned away; one that did has failed, whatever the module calls it. */
@@ -191,7 +196,7 @@
   }
 
   void reuse(Life life) {
-    KeyTable.Entry entry = keyed(life) ? keys.find(life.ask) : null;
+    KeyTable.Entry entry = keyed(life) ? keys.find(life) : null;
     life.state = Life.State.ATTACHED;
     life.startedUs = clock.getAsLong();
     if (entry != null && !entry.ended()) {
@@ -273,8 +278,8 @@
 
   // ---- answers
 
-  private boolean keyed(Life life) {
-    return rules.classes().get(life.ask.klass()).keyed();
+  private static boolean keyed(Life life) {
+    return life.klass.keyed();
   }
 
   static Answer.Failed failed(Progress progress, String why, Answer.Cause cause) {
--- a/src/main/java/rosecleat/front/resp/Fields.java
+++ b/src/main/java/rosecleat/front/resp/Fields.java
@@ -26,11 +26,15 @@
   Fields(List<Core.Klass> grades, List<String> tenantNames, Runner runner) {
     this.grades = grades;
     this.runner = runner;
-    for (Core.Klass grade : grades) {
-      classes.put(grade.name(), classes.size());
+    for (int n = 0; n < grades.size(); n++) {
+      if (grades.get(n) != null) {
+        classes.put(grades.get(n).name(), n);
+      }
     }
-    for (String tenant : tenantNames) {
-      tenants.put(tenant, tenants.size());
+    for (int n = 0; n < tenantNames.size(); n++) {
+      if (tenantNames.get(n) != null) {
+        tenants.put(tenantNames.get(n), n);
+      }
     }
   }
 
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -32,14 +32,14 @@
   private static final long BYE_US = 1_000_000;
   /** A connection's first message, and the rest of one that has begun, are awaited so long (us). */
   private static final long PATIENCE_US = 2_000_000;
-  /** Mistakes that a connection may make; no balancer comes near. */
+  /** Mistakes that a connection may make in a row; a balancer that knows a class too few still sends others. */
   private static final int MOST_ERRORS = 64;
 
   private final Core core;
   private final Counters counters;
   private final LongSupplier clock;
   private final Log log;
-  private final Fields fields;
+  private Fields fields;
   private final Listener listener;
   private final Set<Peer> peers = new LinkedHashSet<>();
 
@@ -50,11 +50,16 @@
     this.clock = clock;
     this.log = log;
     counters = core.counters();
-    fields = new Fields(names.classes(), names.tenants(), names.runner());
+    use(names);
     listener = new Listener(loop, at, most, LIMITS, this::adopt);
   }
 
-  /** The names that requests may use, and what runs them. */
+  /** Requests read from now on may use these names. */
+  public void use(Names names) {
+    fields = new Fields(names.classes(), names.tenants(), names.runner());
+  }
+
+  /** The names that requests may use, by number, null where a number has none; and what runs them. */
   public record Names(List<Core.Klass> classes, List<String> tenants, Runner runner) { }
 
   /** The port it listens on. */
@@ -192,6 +197,7 @@
         failed(tag, read.wrong());
         return;
       }
+      errors = 0;
       Core.Handle handle = core.submit(read.ask());
       if (!answered[0]) {
         open.put(tag, handle);
--- a/src/main/java/rosecleat/front/uwsgi/Requests.java
+++ b/src/main/java/rosecleat/front/uwsgi/Requests.java
@@ -26,8 +26,8 @@
   /** The runtime takes bodies up to so many bytes. */
   private static final int RUNTIME_BODY = 2 << 10;
 
-  private final BrokerConfig config;
-  private final Routes routes;
+  private BrokerConfig config;
+  private Routes routes;
   private final Runner runtime;
   private final Runner backends;
   private final List<String> teams = new ArrayList<>();
@@ -35,13 +35,17 @@
   private final ObjectMapper json = new ObjectMapper();
 
   Requests(BrokerConfig config, Runner runtime, Runner backends, long seed) {
-    this.config = config;
+    use(config);
     this.runtime = runtime;
     this.backends = backends;
-    routes = new Routes(config.operations());
     random = new SplittableRandom(seed);
   }
 
+  void use(BrokerConfig fresh) {
+    config = fresh;
+    routes = new Routes(fresh.operations());
+  }
+
   Outcome read(UwsgiPacket packet, long nowUs, Front front) {
     String method = packet.var("REQUEST_METHOD");
     String uri = packet.var("REQUEST_URI");
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -29,7 +29,7 @@
   private static final int HEAD_ROOM = 4 << 10;
 
   private final EventLoop loop;
-  private final BrokerConfig config;
+  private BrokerConfig config;
   private final Core core;
   private final Counters counters;
   private final LongSupplier clock;
@@ -54,6 +54,12 @@
         limits.replyBytes() + HEAD_ROOM, limits.stallUs()), this::adopt);
   }
 
+  /** Requests read from now on go by these contracts and budgets; where it listens stays. */
+  public void use(BrokerConfig fresh) {
+    config = fresh;
+    requests.use(fresh);
+  }
+
   /** The port it listens on. */
   public int port() {
     return listener.port();
--- a/src/main/java/rosecleat/policy/Decisions.java
+++ b/src/main/java/rosecleat/policy/Decisions.java
@@ -93,14 +93,15 @@
 
   private record Timer(long atUs, long nr, long tag) { }
 
-  private final Settings settings;
-  private final List<String> gaugeNames;
+  private Settings settings;
+  private List<String> gaugeNames;
   private final long seed;
   private final ArrayDeque<Order> orders = new ArrayDeque<>();
   private final PriorityQueue<Timer> timers =
       new PriorityQueue<>(Comparator.comparingLong(Timer::atUs).thenComparingLong(Timer::nr));
   private final Gauges gauges = new Gauges();
   private Policy policy;
+  private boolean startedCold;
   private long now;
   private long nr;
 
@@ -114,10 +115,24 @@
   /** Starts the module as of a moment that may have passed: when the cores it rules came up, cold or warm. */
   public void begin(long sinceUs, boolean cold) {
     now = sinceUs;
+    startedCold = cold;
     policy = new Policy(settings.withCold(cold), seed, new Collector());
     policy.begin(sinceUs);
   }
 
+  /**
+   * New settings, in force from now on. A class or tenant keeps its number; the classes {@code renamed} are others than
+   * those that went by these numbers before.
+   */
+  public void retune(long nowUs, Settings fresh, List<String> gauges, List<Integer> renamed) {
+    now = Math.max(now, nowUs);
+    settings = fresh;
+    gaugeNames = List.copyOf(gauges);
+    if (policy != null) {
+      policy.retuned(now, fresh.withCold(startedCold), renamed);
+    }
+  }
+
   /** Whether {@link #begin} has been called. */
   public boolean begun() {
     return policy != null;
--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -2,6 +2,7 @@
 package rosecleat.policy;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -97,9 +98,9 @@
     long until;
   }
 
-  private record Kept(long until, long id, boolean inTable) { }
+  private record Kept(long until, long id, boolean inTable, double kb) { }
 
-  private final Settings s;
+  private Settings s;
   private final Actions out;
   private final SplittableRandom random;
   private final Map<Long, Item> items = new HashMap<>();
@@ -123,15 +124,15 @@
   private double arrivals;
   private double completions;
   private long ratesAt;
-  private final double[] mean; // us of run time by class (per us of hint where hints come)
-  private final int[] samples;
+  private double[] mean = {}; // us of run time by class (per us of hint where hints come)
+  private int[] samples = {};
   private double stretch = 1;
   private double calm = 1;
   private double crowding = 1; // what wants the cores over the cores, smoothed; 1 while all of it fits
   private double reading; // part of the cores that reading and connections want, smoothed
-  private final double[] tenantPart; // of the recent arrivals
-  private final double[] served; // recent runs that ended well, by tenant
-  private final double quotas; // requests a second inside all shares, over all servers
+  private double[] tenantPart = {}; // of the recent arrivals
+  private double[] served = {}; // recent runs that ended well, by tenant
+  private double quotas; // requests a second inside all shares, over all servers
   private final double[] ring = new double[RING];
   private int ringCount;
 
@@ -165,33 +166,40 @@
 
   /** A server's policy with its settings, its seed and its host's actions. */
   public Policy(Settings settings, long seed, Actions actions) {
-    s = settings;
     out = actions;
     random = new SplittableRandom(seed);
-    mean = new double[s.classes().size()];
-    samples = new int[mean.length];
-    tenantPart = new double[s.tenants().size()];
-    served = new double[tenantPart.length];
+    use(settings);
+    limit = s.cores();
+  }
+
+  /** Settings to go by from now on; what was learnt of classes and tenants stays with their numbers. */
+  private void use(Settings settings) {
+    s = settings;
+    mean = Arrays.copyOf(mean, s.classes().size());
+    samples = Arrays.copyOf(samples, mean.length);
+    int known = tenantPart.length;
+    tenantPart = Arrays.copyOf(tenantPart, s.tenants().size());
+    served = Arrays.copyOf(served, tenantPart.length);
     quotas = s.tenants().stream().mapToDouble(Tenant::quotaPerS).sum();
-    for (int t = 0; t < tenantPart.length; t++) {
+    for (int t = known; t < tenantPart.length; t++) {
       tenantPart[t] = quotas > 0 ? s.tenants().get(t).quotaPerS() / quotas : 0; // until it is known better
     }
-    limit = s.cores();
   }
 
   // ---- events -----------------------------------------------------------------------------------
 
   @Override public void begin(long now) {
-    clock = now;
-    born = now;
-    lastTick = now;
-    lastStep = now;
-    lastEnd = now;
-    ratesAt = now;
+    clock = born = lastTick = lastStep = lastEnd = ratesAt = now;
     out.health(true, true); // from store: checks that do real work would take it from requests
     out.wake(TICK_US, 0);
   }
 
+  @Override public void retuned(long now, Settings settings, List<Integer> renamed) {
+    clock = now;
+    use(settings);
+    renamed.forEach(c -> mean[c] = samples[c] = 0); // another class goes by the number now
+  }
+
   @Override public void arrived(long now, Request q) {
     clock = now;
     Item it = new Item();
@@ -371,9 +379,8 @@
   }
 
   /**
-   * Learns from a run that ended by itself (ended 1) or was halted (0). A halted run's time counts, its end
-   * does not: what is learnt is time on the cores for each end, else a server that stops its long runs
-   * would know the short ones only, and take what it cannot answer in time.
+   * Learns from a run that ended by itself (ended 1) or was halted (0). Of a halted run the time counts, not
+   * the end, else a server that stops its long runs would know short ones only and take too much.
    */
   private void learn(Item it, long workedUs, int ended) {
     int c = it.q.klass();
@@ -401,9 +408,8 @@
   }
 
   /**
-   * Whether kept connections are used again soon enough to be worth their part of the cores. Guards
-   * against a table filled by callers that hardly return; should also guard against many short-lived
-   * callers. Harm: a few frequent callers among very many pay for new connections.
+   * Whether kept connections are used again soon enough to be worth their part of the cores. Guards against
+   * a table full of callers that hardly return. Harm: few frequent ones among many pay for new connections.
    */
   private void countCaller(long now, long caller) {
     double worth = Math.min(s.idleUs(), WORTH_US / Math.max(uAv, 0.01)); // cores that idle pay its tax
@@ -573,9 +579,8 @@
   private void start(long now, Item it) {
     held.remove(it);
     busy.add(it);
-    memoryKb -= it.kb;
+    memoryKb += s.runFactor() * it.q.heldKb() - it.kb;
     it.kb = s.runFactor() * it.q.heldKb();
-    memoryKb += it.kb;
     it.ran = true;
     it.started = now;
     if (it.effects != null) {
@@ -630,13 +635,13 @@
   private void keep(long now, Item it, long forUs) {
     out.keep(it.q.id(), forUs);
     memoryKb += s.keyKb();
-    kept.add(new Kept(now + forUs, it.q.id(), it.effects != null));
+    kept.add(new Kept(now + forUs, it.q.id(), it.effects != null, s.keyKb()));
   }
 
   private void expireKeys(long now) {
     while (!kept.isEmpty() && kept.peek().until < now) {
       Kept old = kept.poll();
-      memoryKb -= s.keyKb();
+      memoryKb -= old.kb;
       if (old.inTable) {
         table.remove(old.id);
       }
@@ -697,9 +702,8 @@
   }
 
   /**
-   * A first try may go on elsewhere once, where further tries are marked and this server refuses
-   * seldom: then its trouble is likely its own. Harm: where all servers are that full, each such try
-   * costs one more read.
+   * A first try may go on elsewhere once, where further tries are marked and this server refuses seldom:
+   * then its trouble is likely its own. Harm: where all servers are that full, each such try costs a read.
    */
   private boolean mayGoOn(Item it) {
     return s.marksRetry() && !it.q.retry() && refusal <= SELDOM && !behind();
@@ -943,11 +947,10 @@
   }
 
   /**
-   * Moves the span after which idle connections close; said when it has moved by a quarter. It rises
-   * also while reading and new connections swamp the cores: a full table turns callers away at no
-   * cost, and keeps doing so while the span falls slowly. Guards against storms of new connections,
-   * whatever their cause. Harm: the full table is blind to worth and taxes the cores, and outlasts the
-   * storm by some seconds.
+   * Moves the span after which idle connections close; said when it has moved by a quarter. It rises also
+   * while reading and new connections swamp the cores: a full table turns callers away at no cost, also
+   * while the span falls slowly. Guards against storms of new connections, of any cause. Harm: the full
+   * table is blind to worth and taxes the cores, and outlasts the storm by some seconds.
    */
   private void idle(boolean keep) {
     double moved = idle * (keep ? IDLE_UP : IDLE_DOWN);
@@ -966,10 +969,8 @@
     return hung || drainAt >= 0;
   }
 
-  /**
-   * The credit is for many limits: callers that have none left turn requests away blindly, the hold picks by
-   * worth. Harm: each request too many costs a read. A server far slower than it was has none to spare.
-   */
+  // credit is for many limits: callers with none left refuse blindly, the hold picks by worth; harm: more
+  // reads, so a server far slower than it was has none to spare
   private void signal() {
     boolean shut = shut();
     if (healthy == shut) {
--- a/src/main/java/rosecleat/policy/PolicyApi.java
+++ b/src/main/java/rosecleat/policy/PolicyApi.java
@@ -14,6 +14,12 @@
   /** The process has started; comes once, before any other event. */
   void begin(long now);
 
+  /**
+   * The settings have changed; a number of a class or tenant means what it meant, but for the classes {@code renamed}.
+   * What is in hand keeps the class it came with.
+   */
+  void retuned(long now, Settings settings, List<Integer> renamed);
+
   /** A request has been read and is held; one final answer is owed. */
   void arrived(long now, Request request);
 
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -5,12 +5,14 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import rosecleat.config.NodeConfig;
 import rosecleat.core.Core;
 import rosecleat.log.Log;
 import rosecleat.standin.RespClient;
@@ -124,7 +126,7 @@
   @Test void aReloadInTheMiddleOfADialGoesToTheLastAddress() throws IOException {
     startReady();
     runtime.moveAway();
-    node.reload(TestSite.config(1, 1, 1, 2_000, 500)); // nobody listens there
+    node.reload(new Setup(TestSite.config(1, 1, 1, 2_000, 500), null)); // nobody listens there
     reload();
     reload();
     assertEquals("OK", answer("card-refresh").get(1));
@@ -157,8 +159,48 @@
     assertEquals(StandInRuntime.result("body 1"), client.answer().get(3));
   }
 
+  /** Guards requests against new settings: what is open keeps its class, only new requests go by the new names. */
+  @Test void newSettingsTakeEffectForWhatComesAfterThem() throws IOException {
+    startReady();
+    send("card-load", "k");
+    await(() -> runtime.starts.size() == 1);
+    String file = TestSite.config(runtime.port(), index.port(), roster.port(), 2_000, 500).file().toString();
+    for (int round = 1; round <= 30; round++) { // many reloads, each with another name for two classes
+      NodeConfig fresh = NodeConfig.parse(file.replace("card-load", "load-" + round)
+          .replace("balance-check", "check-" + round).replace("\"name\":\"big\"", "\"name\":\"big-" + round + "\""),
+          Map.of());
+      node.reload(new Setup(fresh, null));
+    }
+    assertEquals(StandInRuntime.result("body 1"), client.answer().get(3)); // it runs on, as what it came as
+    assertEquals("FAILED", answer("card-load").get(1));
+    assertEquals("FAILED", answer("balance-check").get(1));
+    assertEquals("OK", answer("check-30").get(1));
+    assertEquals("OK", answer("card-refresh").get(1));
+    send("load-30", "k2");
+    assertEquals("OK", client.answer().get(1));
+    assertTrue(runtime.starts.get(runtime.starts.size() - 1).contains("load-30"), runtime.starts.toString());
+    node.reload(new Setup(NodeConfig.parse(file, Map.of()), null));
+    send("card-load", "k");
+    client.send(RespClient.array("DO", 90, "card-load", RespClient.fields("00000000000000f9", "small", 900, "k"),
+        "body 1")); // the first of them has another body under that key, this one the first's
+    assertEquals("FAILED", client.answer().get(1));
+    assertEquals(StandInRuntime.result("body 1"), client.answer().get(3));
+    assertEquals(1, runtime.startsOf("body 1"));
+  }
+
+  /** Guards an honest balancer that a reload left with a name too many: its other requests are no mistakes. */
+  @Test void whoAlsoSendsWhatIsRightIsNotShutOut() throws IOException {
+    startReady();
+    for (int i = 0; i < 200; i++) {
+      assertEquals("FAILED", answer("no-such-class").get(1));
+      if (i % 50 == 0) {
+        assertEquals("OK", answer("balance-check").get(1));
+      }
+    }
+  }
+
   private void reload() {
-    node.reload(TestSite.config(runtime.port(), index.port(), roster.port(), 2_000, 500));
+    node.reload(new Setup(TestSite.config(runtime.port(), index.port(), roster.port(), 2_000, 500), null));
   }
 
   @Test void aCommandThatTheBrokenLinkSwallowedIsSentAgain() throws IOException {
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -93,7 +93,7 @@
     List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, false, 0, 1_200_000),
         new Core.Klass("card-refresh", false, true, 0, 1_200_000),
         new Core.Klass("card-load", true, false, WINDOW_US, 1_200_000));
-    return new Core(new Core.Rules(TestSite.CORES, classes, 80_000, 1_500_000, 30_000_000, resultBytes),
+    return new Core(new Core.Rules(TestSite.CORES, classes, List.of("big", "small"), 80_000, 1_500_000, 30_000_000, resultBytes),
         new Decisions(config.start().settings(), config.start().gauges(), 5), ledger, () -> now, new Counters(), log);
   }
 
--- a/src/test/java/rosecleat/front/resp/PatienceTest.java
+++ b/src/test/java/rosecleat/front/resp/PatienceTest.java
@@ -85,7 +85,7 @@
 
   private static Core core(AtomicLong now, long idleUs, Log log) {
     NodeConfig config = TestSite.config(0, 0, 0, 3_000, 1_500);
-    return new Core(new Core.Rules(2, classes(), 80_000, 1_500_000, idleUs, 1 << 20),
+    return new Core(new Core.Rules(2, classes(), List.of("small"), 80_000, 1_500_000, idleUs, 1 << 20),
         new Decisions(config.start().settings(), config.start().gauges(), 5), NONE, now::get, new Counters(), log);
   }
 
--- a/src/test/java/rosecleat/front/resp/RespModelTest.java
+++ b/src/test/java/rosecleat/front/resp/RespModelTest.java
@@ -86,7 +86,7 @@
       List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, false, 0, 60_000_000),
           new Core.Klass("card-refresh", false, true, 0, 60_000_000),
           new Core.Klass("card-load", true, false, 4_000_000, 60_000_000));
-      core = new Core(new Core.Rules(TestSite.CORES, classes, 80_000, 1_500_000, 30_000_000, 1 << 20),
+      core = new Core(new Core.Rules(TestSite.CORES, classes, List.of("big", "small"), 80_000, 1_500_000, 30_000_000, 1 << 20),
           new Decisions(config.start().settings(), config.start().gauges(), 5), new NoLedger(), clock,
           new Counters(), log);
       front = new RespFront(loop, new InetSocketAddress("127.0.0.1", 0), 100, core,
