Let a new process take over under load: shared address, claimed keys, no drain on SIGTERM

Ruled out: lost connections at the socket that closes (ListenerTest connects in a storm while one of two closes).

--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -92,7 +92,7 @@
       }
       switch (word) {
         case "serve" -> {
-          return Serving.start(serve.setup(env), () -> serve.setup(env), serve.countersEvery);
+          return Serving.start(serve.setup(env), () -> serve.setup(env), shared(env), serve.countersEvery);
         }
         case "benchlink" -> {
           System.setOut(System.err);
@@ -123,6 +123,12 @@
     }
   }
 
+  /** The folder that all processes of a node share; null where none is named. */
+  private static Path shared(Map<String, String> env) {
+    String folder = env.get("TMPDIR");
+    return folder == null || folder.isBlank() ? null : Path.of(folder);
+  }
+
   private static String version() {
     String packed = Main.class.getPackage().getImplementationVersion();
     return packed == null ? UNPACKED : packed;
--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -11,12 +11,14 @@
 import rosecleat.front.resp.RespFront;
 import rosecleat.front.uwsgi.UwsgiFront;
 import rosecleat.front.uwsgi.UwsgiRunner;
+import rosecleat.handover.Handover;
 import rosecleat.index.IndexClient;
 import rosecleat.log.Log;
 import rosecleat.mgmt.Door;
 import rosecleat.net.Clock;
 import rosecleat.net.EventLoop;
 import rosecleat.policy.Decisions;
+import rosecleat.policy.PolicyApi;
 import rosecleat.roster.RosterClient;
 import rosecleat.runtime.NoRuntime;
 import rosecleat.runtime.RuntimeLink;
@@ -25,14 +27,15 @@
 final class Node implements AutoCloseable {
   /** Descriptors that are not balancers' connections: links, the jar, the libraries, some room. */
   private static final int OWN_SOCKETS = 64;
-  /** The node is gone so long before it would be killed (us). */
-  private static final long EARLY_US = 150_000;
-  /** What is owed so shortly before the end is failed (us). */
-  private static final long LAST_US = 300_000;
   /** A beat so much late is worth a line in the log (us). */
   private static final long LATE_US = 200_000;
-  /** When no connection has come for so long, none is expected any more (us). */
-  private static final long CALM_US = 500_000;
+  /** So often the node looks what its other processes do (us). */
+  private static final long LOOK_US = 100_000;
+  /** The part of its limits that a process keeps to while there are two. */
+  private static final double HALF = 0.5;
+  /** A process that hands over is killed so long after the longest deadline, which counts as so much at the most (us). */
+  private static final long KILLED_US = 700_000;
+  private static final long LONGEST_US = 3_000_000;
 
   private volatile NodeConfig config;
   private final Log log;
@@ -48,35 +51,50 @@
   private final IndexClient index;
   private final RespFront resp;
   private final UwsgiFront uwsgi;
-  private long endUs = Long.MAX_VALUE;
+  private final Fronts fronts;
+  private final Handover handover;
+  private boolean listening;
+  private boolean shared;
+  private Leaving leaving;
+  private long nextLookUs;
   private long beatUs = Long.MAX_VALUE;
   private Runnable whenLeft = () -> { };
 
   /** A node on a loop of its own; {@code broker} is null where there is no second front. */
   Node(NodeConfig config, BrokerConfig broker, Log log) throws IOException {
-    this(config, broker, new EventLoop(log), new Counters(), log);
+    this(config, broker, new EventLoop(log), null, new Counters(), log);
   }
 
-  /** A node on a loop that something else may use too. */
-  Node(NodeConfig config, BrokerConfig broker, EventLoop loop, Counters counters, Log log) throws IOException {
+  /** A node on a loop that something else may use too; {@code handover} is null where it is its only process. */
+  Node(NodeConfig config, BrokerConfig broker, EventLoop loop, Handover others, Counters counters, Log log)
+      throws IOException {
     this.config = config;
     this.log = log;
     this.loop = loop;
     this.counters = counters;
     try {
+      handover = others == null ? new Handover(null, counters, log) : others;
       numbering = new Numbering(new Setup(config, broker));
       index = new IndexClient(loop, config.index(), clock, counters, log);
       decisions = new Decisions(numbering.settings(), numbering.gauges(), config.seed());
-      core = new Core(numbering.rules(), decisions, index, clock, counters, log);
+      core = new Core(numbering.rules(), decisions, index, handover.claims(), clock, counters, log);
       index.tell(core);
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
       runner = runtime == null ? new NoRuntime(loop, core) : runtime;
       roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
-      int others = OWN_SOCKETS + (config.mgmt() == null ? 0 : Door.SOCKETS) + (broker == null ? 0 : 2 * broker.connections());
-      resp = new RespFront(loop, config.listen(), Math.max(1, config.sockets() - others), core,
+      resp = new RespFront(loop, config.listen(), 1, core,
           numbering.names(runner), clock, log);
       uwsgi = broker == null ? null : new UwsgiFront(loop, numbering.broker(), core, runner,
           new UwsgiRunner(loop, core, clock, broker.limits().replyBytes()), clock, log, ~config.seed());
+      fronts = new Fronts(resp, uwsgi);
+      resp.places(places());
+      handover.keepLate(core.longestDueUs());
+      if (!handover.predecessorLives()) {
+        listen();
+        if (!listening) {
+          throw new IOException("can't listen at " + config.listen());
+        }
+      }
     } catch (IOException | RuntimeException e) {
       loop.close();
       throw e;
@@ -94,7 +112,6 @@
       roster.begin();
       beat();
     });
-    log.info(config.name() + " listens on " + config.listen());
     if (uwsgi != null) {
       log.info("uwsgi is on, at port " + uwsgi.port());
     }
@@ -110,7 +127,7 @@
 
   /** Whether requests that come now are served; for use on the node's thread. */
   boolean serving() {
-    return core.ready() && !core.draining();
+    return listening && core.ready() && leaving == null;
   }
 
   /** The port for balancers. */
@@ -138,20 +155,32 @@
     return uwsgi;
   }
 
-  /** The notice to leave: calls back on the loop when nothing is left to do, or when time is up. */
-  void leave(Runnable done) {
+  /**
+   * Told to leave: calls back on the loop when nothing is left to do, or when time is up. Where another process of this
+   * node lives it takes over, else this is the notice to drain. Returns how long the process has (us); for any thread.
+   */
+  long leave(Runnable done) {
+    boolean handsOver = handover.successorLives();
+    long leftUs = handsOver ? Math.min(core.longestDueUs(), LONGEST_US) + KILLED_US : config.stopUs();
     loop.execute(() -> {
-      endUs = clock.getAsLong() + config.stopUs();
       whenLeft = done;
-      log.info("told to leave, " + core.inHand() + " in hand");
-      roster.leave();
-      core.drain(config.stopUs() - EARLY_US);
+      log.info("told to leave" + (handsOver ? " by a newer process that takes over, " : ", ") + core.inHand()
+          + " in hand");
+      counters.add(handsOver ? "leaves.handover" : "leaves.drain");
+      long endUs = clock.getAsLong() + leftUs;
+      if (handsOver) {
+        leaving = new HandOver(core, fronts, handover, clock, endUs);
+      } else {
+        drain(endUs);
+      }
     });
+    return leftUs;
   }
 
-  /** How long the process has from the notice to leave (us). */
-  long stopUs() {
-    return config.stopUs();
+  private void drain(long endUs) {
+    roster.leave();
+    core.drain(endUs - clock.getAsLong() - Leaving.EARLY_US);
+    leaving = new Drain(core, fronts, clock, endUs);
   }
 
   /** New files, checked already: settings, contracts and the addresses of the links take effect together. */
@@ -163,8 +192,10 @@
       log.info("reloaded: classes " + fresh.start().classes() + ", runtime " + fresh.runtime() + ", index "
           + fresh.index() + ", roster " + fresh.roster());
       List<Integer> renamed = numbering.take(setup, core::usesClass, core::usesTenant);
-      decisions.retune(clock.getAsLong(), numbering.settings(), numbering.gauges(), renamed);
+      retune(renamed);
       core.use(numbering.rules());
+      handover.keepLate(core.longestDueUs());
+      resp.places(places());
       resp.use(numbering.names(runner));
       if (uwsgi != null) {
         uwsgi.use(numbering.broker());
@@ -179,52 +210,76 @@
 
   /** The module's clock and all that is done by time. What makes it late makes every answer late, so that is told. */
   private void beat() {
-    long lateUs = clock.getAsLong() - beatUs;
+    long now = clock.getAsLong();
+    long lateUs = now - beatUs;
     if (lateUs > LATE_US) {
       counters.add("beats.late");
       log.warn("the loop was " + lateUs / 1000 + " ms late, with " + core.inHand() + " in hand");
     }
+    if (now >= nextLookUs) {
+      nextLookUs = now + LOOK_US;
+      look(now);
+    }
     long next = core.tick();
-    boolean draining = endUs != Long.MAX_VALUE;
-    resp.sweep(draining && core.pastGrace());
-    if (draining) {
-      leaving();
+    resp.sweep(leaving != null && leaving.sendsAway());
+    if (leaving instanceof HandOver handOver && handOver.forsaken()) {
+      log.warn("the newer process is gone: this one drains");
+      drain(leaving.endUs());
+    }
+    if (leaving != null && leaving.over()) {
+      log.info(counters.toString());
+      leaving = null; // said once; the process ends now
+      whenLeft.run();
     }
     beatUs = next;
     loop.after(next - clock.getAsLong(), this::beat);
   }
 
-  /**
-   * Past the grace nothing that comes is run any more: connections are asked to close, and once no new ones
-   * come none are taken. Closing the socket under callers that still connect would reset what the system has
-   * accepted for this node; those are answered like all others. What is still owed just before the end is
-   * answered then, so that nothing read stays unanswered.
-   */
-  private void leaving() {
-    long now = clock.getAsLong();
-    boolean shut = false;
-    if (core.pastGrace()) {
-      long quietUs = now > endUs - 2 * LAST_US ? 0 : CALM_US;
-      shut = resp.stopListening(quietUs) & (uwsgi == null || uwsgi.stopListening(quietUs));
-      if (uwsgi != null) {
-        uwsgi.closeIdle(quietUs);
-      }
+  /** What the other processes of this node say and do. */
+  private void look(long now) {
+    handover.look(now);
+    core.setAside(handover.drained());
+    if (!listening && (core.ready() || !handover.predecessorLives())) {
+      listen();
     }
-    if (now > endUs - LAST_US) {
-      core.answerAll("the node is stopped");
+    boolean two = handover.predecessorLives() || handover.successorServes();
+    if (two != shared) {
+      shared = two;
+      counters.add(two ? "shares.half" : "shares.whole");
+      log.info(two ? "two processes of this node serve: each keeps to half of its limits"
+          : "this process serves alone, by all of its limits");
+      retune(List.of());
+      resp.places(places());
     }
-    boolean empty = shut && core.owed() == 0 && resp.open() == 0 && (uwsgi == null || uwsgi.open() == 0);
-    if (empty || now > endUs - EARLY_US) {
-      log.info(counters.toString());
-      Runnable done = whenLeft;
-      whenLeft = () -> { };
-      endUs = Long.MAX_VALUE; // said once; the process ends now
-      done.run();
+  }
+
+  private void retune(List<Integer> renamed) {
+    PolicyApi.Settings settings = numbering.settings();
+    decisions.retune(clock.getAsLong(), shared ? settings.share(HALF) : settings, numbering.gauges(), renamed);
+  }
+
+  /** Connections of balancers that may be open; what a process needs for itself it needs twice where there are two. */
+  private int places() {
+    int own = OWN_SOCKETS + (config.mgmt() == null ? 0 : Door.SOCKETS)
+        + (uwsgi == null ? 0 : 2 * numbering.broker().connections());
+    return Math.max(1, shared ? (config.sockets() - 2 * own) / 2 : config.sockets() - own);
+  }
+
+  /** Takes clients. A process that takes over does so only when it can serve them. */
+  private void listen() {
+    try {
+      fronts.listen();
+      listening = true;
+      handover.serve();
+      log.info(config.name() + " listens on " + config.listen());
+    } catch (IOException e) {
+      log.warn("can't listen yet: " + e.getMessage());
     }
   }
 
   /** Ends the node at once. */
   @Override public void close() {
     loop.close();
+    handover.close();
   }
 }
--- a/src/main/java/rosecleat/cli/Operators.java
+++ b/src/main/java/rosecleat/cli/Operators.java
@@ -1,16 +1,20 @@
 package rosecleat.cli;
 
+import rosecleat.handover.Handover;
 import rosecleat.mgmt.Operations;
 
 /** What operators asked of a node, kept from before it stands. For the loop. */
 final class Operators implements Operations {
+  private final Handover handover;
   private Node node;
-  private boolean away;
 
-  /** The node stands, and follows what was asked before. */
+  Operators(Handover handover) {
+    this.handover = handover;
+  }
+
+  /** The node stands; it follows what was asked before, and in its other processes. */
   void serve(Node fresh) {
     node = fresh;
-    fresh.core().setAside(away);
   }
 
   @Override public boolean ready() {
@@ -26,7 +30,7 @@
   }
 
   private void set(boolean aside) {
-    away = aside;
+    handover.drain(aside);
     if (node != null) {
       node.core().setAside(aside);
     }
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -1,11 +1,13 @@
 package rosecleat.cli;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import rosecleat.config.NodeConfig;
 import rosecleat.core.Counters;
+import rosecleat.handover.Handover;
 import rosecleat.log.Log;
 import rosecleat.mgmt.Door;
 import rosecleat.net.EventLoop;
@@ -29,16 +31,17 @@
 
   /**
    * Starts a node, which logs its counters so often (seconds, 0 for never) and reads its configuration anew on
-   * SIGHUP; it goes on after this returns.
+   * SIGHUP; it goes on after this returns. {@code shared} is the folder that all processes of the node see, or null.
    */
-  static int start(Setup setup, Supplier<Setup> reader, int countersEvery) throws IOException {
+  static int start(Setup setup, Supplier<Setup> reader, Path shared, int countersEvery) throws IOException {
     NodeConfig config = setup.node();
     Log log = new Log(System.err);
     Reload reload = new Reload(setup, reader, log);
     reload.install(); // before it listens: from then on a signal may come
     EventLoop loop = new EventLoop(log);
     Counters counters = new Counters();
-    Operators operators = new Operators();
+    Handover handover = new Handover(shared, counters, log);
+    Operators operators = new Operators(handover);
     if (config.mgmt() != null) { // open before the warm-up: operators may ask how far it is
       new Door(loop, config.mgmt(), operators, counters, log);
       log.info("operators are heard at " + config.mgmt());
@@ -46,7 +49,7 @@
     if (config.runtime() != null) {
       Warmup.play(config);
     }
-    Node node = new Node(config, setup.broker(), loop, counters, log);
+    Node node = new Node(config, setup.broker(), loop, handover, counters, log);
     Serving serving = new Serving(node, log);
     new Thread(serving::stay, "stay").start();
     Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
@@ -70,9 +73,9 @@
 
   /** Runs as the virtual machine's shutdown hook: what the node still does goes on while this waits. */
   private void leave() {
-    node.leave(left::countDown);
+    long hasUs = node.leave(left::countDown);
     try {
-      if (!left.await(node.stopUs() - EARLY_US, TimeUnit.MICROSECONDS)) {
+      if (!left.await(hasUs - EARLY_US, TimeUnit.MICROSECONDS)) {
         log.warn("the time to leave ran out");
       }
     } catch (InterruptedException e) {
--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -25,7 +25,7 @@
   private static final long EXPIRE_US = 1_000_000;
   private static final double RECKON_US = 500_000;
 
-  private Rules rules;
+  private volatile Rules rules;
   private final Decisions decisions;
   private final Ledger ledger;
   private final LongSupplier clock;
@@ -45,8 +45,14 @@
   private double busy;
   private long reckonedUs;
 
-  /** A core that holds nothing yet. */
+  /** A core that holds nothing yet, in the only process of its node. */
   public Core(Rules rules, Decisions decisions, Ledger ledger, LongSupplier clock, Counters counters, Log log) {
+    this(rules, decisions, ledger, Claims.ALONE, clock, counters, log);
+  }
+
+  /** A core that holds nothing yet, beside other processes of its node. */
+  public Core(Rules rules, Decisions decisions, Ledger ledger, Claims claims, LongSupplier clock, Counters counters,
+      Log log) {
     this.rules = rules;
     this.decisions = decisions;
     this.ledger = ledger;
@@ -54,7 +60,7 @@
     this.counters = counters;
     this.log = log;
     idleUs = rules.idleUs();
-    work = new Work(rules, ledger, clock, counters, log, this::report);
+    work = new Work(rules, ledger, claims, clock, counters, log, this::report);
   }
 
   // ---- what fronts and the program ask
@@ -92,6 +98,11 @@
     return idleUs;
   }
 
+  /** The longest time that the rules give a request (us). */
+  public long longestDueUs() {
+    return rules.classes().stream().mapToLong(Klass::dueUs).max().orElse(0);
+  }
+
   /** Requests whose answer is owed, and runs that go on. */
   public int inHand() {
     return work.size();
@@ -310,6 +321,7 @@
       work.expire();
       nextExpiry = now + EXPIRE_US;
     }
+    work.lookElsewhere();
     long next = decisions.tick(now);
     obey();
     if (gauged != null) {
--- a/src/main/java/rosecleat/core/KeyTable.java
+++ b/src/main/java/rosecleat/core/KeyTable.java
@@ -15,7 +15,10 @@
  * are kept byte for byte, within a bound; where one had to go, later repeats fail rather than run again.
  */
 final class KeyTable {
-  /** One request with all its tries. */
+  /** What {@link #original} says of a key that another process runs: the number of no request here. */
+  private static final long ELSEWHERE = Long.MAX_VALUE;
+
+  /** One request with all its tries. Without an owner it runs in another process. */
   static final class Entry {
     private final Key key;
     private final byte[] digest;
@@ -36,6 +39,16 @@
       return result;
     }
 
+    /** The key by its text, as other processes know it. */
+    String name() {
+      return key.name();
+    }
+
+    /** Whether anybody waits for its result. */
+    boolean awaited() {
+      return !waiting.isEmpty();
+    }
+
     /** Whether the run has ended. */
     boolean ended() {
       return ended;
@@ -43,7 +56,11 @@
   }
 
   /** By names, which outlast the numbers of classes and tenants. */
-  private record Key(String kind, String tenant, String once) { }
+  private record Key(String kind, String tenant, String once) {
+    String name() {
+      return kind + '\0' + tenant + '\0' + once;
+    }
+  }
 
   private long lateUs;
   private final long resultBytes;
@@ -74,7 +91,41 @@
   /** The number of the kept try that this one repeats, 0 for new work. */
   long original(Life life) {
     Entry entry = find(life);
-    return entry != null && (entry.ran || entry.owner.state == Life.State.HELD) ? entry.owner.seq : 0;
+    if (entry == null) {
+      return 0;
+    }
+    return entry.owner == null ? ELSEWHERE : entry.ran || entry.owner.state == Life.State.HELD ? entry.owner.seq : 0;
+  }
+
+  /** The key of a request, as other processes know it. */
+  static String name(Life life) {
+    return key(life).name();
+  }
+
+  /** Another process runs the request: its tries here wait for that. */
+  Entry elsewhere(Life life, Claims.Others claim) {
+    Entry entry = new Entry(key(life), claim.digest());
+    entry.ran = true;
+    entry.untilUs = claim.untilUs();
+    Entry before = entries.put(entry.key, entry);
+    if (before != null) {
+      entry.waiting.addAll(before.waiting);
+      drop(before);
+    }
+    return entry;
+  }
+
+  /** The keys that other processes run and of which nothing more is known. */
+  List<Entry> elsewhere() {
+    return entries.values().stream().filter(entry -> entry.owner == null && !entry.ended).toList();
+  }
+
+  /** The run of another process has ended. Returns those that waited for it. */
+  List<Life> endedElsewhere(Entry entry, Claims.Outcome outcome) {
+    if (!outcome.ran()) {
+      entries.remove(entry.key);
+    }
+    return ended(entry, outcome.result());
   }
 
   /** Whether a known request with this key carries another body: not a repeat but a mistake. */
@@ -84,7 +135,7 @@
   }
 
   /** Guards results against another body that is made to look the same: whoever sends it must not be served them. */
-  private static byte[] digest(byte[] body) {
+  static byte[] digest(byte[] body) {
     try {
       return MessageDigest.getInstance("SHA-256").digest(body);
     } catch (NoSuchAlgorithmException e) {
@@ -124,9 +175,10 @@
   /** The run of a try is over, with its result or without (null). Returns those that waited for it. */
   List<Life> ended(Life life, byte[] result) {
     Entry entry = entries.get(key(life));
-    if (entry == null || entry.owner != life) {
-      return List.of();
-    }
+    return entry == null || entry.owner != life ? List.of() : ended(entry, result);
+  }
+
+  private List<Life> ended(Entry entry, byte[] result) {
     entry.ended = true;
     if (result != null) {
       entry.result = result;
--- a/src/main/java/rosecleat/core/Life.java
+++ b/src/main/java/rosecleat/core/Life.java
@@ -27,6 +27,8 @@
   State state = State.HELD;
   boolean ran;
   boolean stopping;
+  /** The module runs it, and it waits here for another process that does. */
+  boolean elsewhere;
   long startedUs;
   long calledUs;
   long notice;
--- a/src/main/java/rosecleat/core/Work.java
+++ b/src/main/java/rosecleat/core/Work.java
@@ -22,13 +22,16 @@
   private final Counters counters;
   private final Log log;
   private final Consumer<Report> reports;
+  private final Claims claims;
   private final KeyTable keys;
   private final Map<Long, Life> lives = new HashMap<>();
   private final Map<String, Life> byId = new HashMap<>();
 
   /** Nothing in hand yet; what happens to requests here is reported to the module. */
-  Work(Core.Rules rules, Ledger ledger, LongSupplier clock, Counters counters, Log log, Consumer<Report> reports) {
+  Work(Core.Rules rules, Ledger ledger, Claims claims, LongSupplier clock, Counters counters, Log log,
+      Consumer<Report> reports) {
     this.ledger = ledger;
+    this.claims = claims;
     this.clock = clock;
     this.counters = counters;
     this.log = log;
@@ -70,6 +73,10 @@
     if (byId.containsKey(life.ask.id())) { // two runs under one name could not be told apart
       return "a request of this id is in hand";
     }
+    if (keyed(life) && keys.find(life) == null
+        && claims.look(KeyTable.name(life)) instanceof Claims.Others others && life.ask.atUs() <= others.untilUs()) {
+      keys.elsewhere(life, others);
+    }
     if (keyed(life) && keys.differs(life)) {
       return "the key belongs to another body";
     }
@@ -119,6 +126,9 @@
         settle(life, RunOutcome.MOOT, 0); // the module takes it for running
         return;
       }
+      if (!claimed(life)) {
+        return;
+      }
       keys.running(life, keyUntil(life)); // remembered before the runner hears of it
     }
     life.state = Life.State.RUNNING;
@@ -128,6 +138,50 @@
     life.ask.runner().start(life.ask, life.dueUs);
   }
 
+  /**
+   * Guards against a second run in another process of this node: only who claims the key may run it. The module takes
+   * what is not run here for running until it hears otherwise.
+   */
+  private boolean claimed(Life life) {
+    Claims.Standing standing = claims.claim(KeyTable.name(life), KeyTable.digest(life.ask.body()), keyUntil(life));
+    if (standing instanceof Claims.Mine) {
+      return true;
+    }
+    if (standing instanceof Claims.Others others && life.ask.atUs() <= others.untilUs()) {
+      KeyTable.Entry entry = keys.elsewhere(life, others);
+      if (keys.differs(life)) {
+        answer(life, failed(Progress.NOT_SENT, "the key belongs to another body", Answer.Cause.CALLER));
+      } else {
+        life.elsewhere = true;
+        life.state = Life.State.ATTACHED;
+        life.startedUs = clock.getAsLong();
+        keys.wait(entry, life);
+        return false;
+      }
+    } else {
+      answer(life, new Answer.Refused(0, false)); // lapsed elsewhere and not free yet, or no room for more claims
+    }
+    settle(life, RunOutcome.MOOT, 0);
+    return false;
+  }
+
+  /** Asks what became of the runs of other processes that somebody here waits for. */
+  void lookElsewhere() {
+    for (KeyTable.Entry entry : keys.elsewhere()) {
+      if (entry.awaited()) {
+        lookElsewhere(entry);
+      }
+    }
+  }
+
+  private void lookElsewhere(KeyTable.Entry entry) {
+    Claims.Outcome outcome = claims.outcome(entry.name());
+    if (outcome != null) {
+      counters.add(outcome.result() != null ? "elsewhere.results" : "elsewhere.nothing");
+      keys.endedElsewhere(entry, outcome).forEach(repeat -> reused(repeat, outcome.result()));
+    }
+  }
+
   private long keyUntil(Life life) {
     return life.ask.atUs() + life.klass.windowUs() + rules.slackUs() + SOCKET_SLACK_US;
   }
@@ -201,6 +255,7 @@
     life.startedUs = clock.getAsLong();
     if (entry != null && !entry.ended()) {
       keys.wait(entry, life);
+      lookElsewhere();
     } else {
       reused(life, entry == null ? null : entry.result());
     }
@@ -236,6 +291,9 @@
   /** It is proven that nothing ran: a keyed request may come again and run then. */
   void unreached(Life life, long tookUs) {
     List<Life> waited = keyed(life) ? keys.neverRan(life) : List.of();
+    if (keyed(life)) {
+      claims.neverRan(KeyTable.name(life));
+    }
     life.ran = false;
     answer(life, failed(Progress.NOT_SENT, "its runner was not reached", Answer.Cause.BACKEND));
     settle(life, RunOutcome.FAILED, tookUs);
@@ -262,6 +320,7 @@
   /** Answers the repeats that waited for a run with what it brought. */
   private void resolve(Life life, byte[] result) {
     if (keyed(life)) {
+      claims.ended(KeyTable.name(life), result);
       keys.ended(life, result).forEach(repeat -> reused(repeat, result));
     }
   }
@@ -304,5 +363,9 @@
     life.state = Life.State.OVER;
     lives.remove(life.seq);
     byId.remove(life.ask.id(), life);
+    if (life.elsewhere) { // the module takes it for running, and would do so for ever
+      life.elsewhere = false;
+      reports.accept(new Report.Ended(life.seq, RunOutcome.MOOT, 0));
+    }
   }
 }
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -40,18 +40,36 @@
   private final LongSupplier clock;
   private final Log log;
   private Fields fields;
-  private final Listener listener;
+  private final EventLoop loop;
+  private final InetSocketAddress at;
+  private Listener listener;
+  private int most;
   private final Set<Peer> peers = new LinkedHashSet<>();
 
-  /** Listens for balancers; at most {@code most} connections are open at a time. */
+  /** A front that {@link #listen} opens; at most {@code most} connections are open at a time. */
   public RespFront(EventLoop loop, InetSocketAddress at, int most, Core core, Names names, LongSupplier clock,
-      Log log) throws IOException {
+      Log log) {
+    this.loop = loop;
+    this.at = at;
+    this.most = most;
     this.core = core;
     this.clock = clock;
     this.log = log;
     counters = core.counters();
     use(names);
-    listener = new Listener(loop, at, most, LIMITS, this::adopt);
+  }
+
+  /** Listens for balancers from now on, beside any other process of this node that does. */
+  public void listen() throws IOException {
+    listener = new Listener(loop, at, most, LIMITS, this::adopt, true);
+  }
+
+  /** As many connections may be open from now on. */
+  public void places(int fresh) {
+    most = fresh;
+    if (listener != null) {
+      listener.places(fresh);
+    }
   }
 
   /** Requests read from now on may use these names. */
@@ -79,7 +97,12 @@
 
   /** Accepts no further connection, once none has come for so long; true when none can come any more. */
   public boolean stopListening(long quietUs) {
-    return listener.closeIfQuiet(quietUs);
+    return listener == null || listener.closeIfQuiet(quietUs);
+  }
+
+  /** Accepts what waits, and then nothing more; true when none can come any more. */
+  public boolean handOver() {
+    return listener == null || listener.closeWhenEmpty();
   }
 
   /** Asks balancers to close every connection that has stood idle for its time, or all; then sees to it. */
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -35,13 +35,13 @@
   private final LongSupplier clock;
   private final Log log;
   private final Requests requests;
-  private final Listener listener;
+  private Listener listener;
   private final Set<Caller> callers = new LinkedHashSet<>();
   private long replying;
 
-  /** Listens where the broker's file says; requests run on the runtime or on uwsgi backends. */
+  /** A front that {@link #listen} opens; requests run on the runtime or on uwsgi backends. */
   public UwsgiFront(EventLoop loop, BrokerConfig config, Core core, Runner runtime, Runner backends,
-      LongSupplier clock, Log log, long seed) throws IOException {
+      LongSupplier clock, Log log, long seed) {
     this.loop = loop;
     this.config = config;
     this.core = core;
@@ -49,9 +49,18 @@
     this.log = log;
     counters = core.counters();
     requests = new Requests(config, runtime, backends, seed);
+  }
+
+  /** Listens where the broker's file says, beside any other process of this node that does. */
+  public void listen() throws IOException {
     BrokerConfig.Limits limits = config.limits();
     listener = new Listener(loop, config.listen(), config.connections(), new Connection.Limits(8 << 10, 64 << 10,
-        limits.replyBytes() + HEAD_ROOM, limits.stallUs()), this::adopt);
+        limits.replyBytes() + HEAD_ROOM, limits.stallUs()), this::adopt, true);
+  }
+
+  /** Accepts what waits, and then nothing more; true when none can come any more. */
+  public boolean handOver() {
+    return listener == null || listener.closeWhenEmpty();
   }
 
   /** Requests read from now on go by these contracts and budgets; where it listens stays. */
@@ -77,7 +86,7 @@
 
   /** Accepts no further connection, once none has come for so long; true when none can come any more. */
   public boolean stopListening(long quietUs) {
-    return listener.closeIfQuiet(quietUs);
+    return listener == null || listener.closeIfQuiet(quietUs);
   }
 
   /** Closes the connections on which nothing of a request has come for so long. */
--- /dev/null
+++ b/src/main/java/rosecleat/handover/FileClaims.java
@@ -0,0 +1,209 @@
+package rosecleat.handover;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.stream.Stream;
+import rosecleat.core.Claims;
+import rosecleat.core.Counters;
+import rosecleat.log.Log;
+import rosecleat.net.Words;
+
+/**
+ * Claims as files in a folder that the processes of a node share. A claim is a symbolic link whose target says owner,
+ * end of the window and digest: it is created whole or not at all, by one process alone, and takes no page of memory. A
+ * result is a file beside it that is there whole or not at all. Both go when no try can ask for them any more.
+ */
+final class FileClaims implements Claims {
+  /** Claims of this process at a time: files count as memory. Beyond that no keyed request is begun. */
+  private static final int MOST_CLAIMS = 8_192;
+  /** Results kept at a time, some 4 KB each; where one had to go, repeats elsewhere fail rather than run again. */
+  private static final int MOST_RESULTS = 2_048;
+  private static final String RESULT = ".result";
+  private static final HexFormat HEX = HexFormat.of();
+
+  private record Claim(int owner, long untilUs, byte[] digest) { }
+
+  private record Kept(String file, long untilUs) { }
+
+  private final Path folder;
+  private final Path scratch;
+  private final Marks marks;
+  private final Counters counters;
+  private final Log log;
+  private final Map<String, Long> mine = new HashMap<>();
+  private final ArrayDeque<Kept> kept = new ArrayDeque<>();
+  private final ArrayDeque<String> results = new ArrayDeque<>();
+  private long lateUs = 3_000_000;
+
+  FileClaims(Path folder, Marks marks, Counters counters, Log log) throws IOException {
+    this.folder = Files.createDirectories(folder);
+    this.marks = marks;
+    this.counters = counters;
+    this.log = log;
+    scratch = folder.resolve("scratch-" + marks.number());
+  }
+
+  /** Claims outlast their window by so much, for tries that are read late. */
+  void keepLate(long us) {
+    lateUs = us;
+  }
+
+  private static String file(String key) {
+    try {
+      return HEX.formatHex(MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e); // each Java platform has it
+    }
+  }
+
+  /** The claim in a file, null where there is none. */
+  private Claim read(String file) {
+    try {
+      String[] words = Files.readSymbolicLink(folder.resolve(file)).toString().split(":", -1);
+      long owner = words.length == 3 ? Words.number(words[0], 9) : -1;
+      return owner < 1 ? null : new Claim((int) owner, Words.number(words[1], 18), HEX.parseHex(words[2]));
+    } catch (IOException | IllegalArgumentException e) {
+      return null;
+    }
+  }
+
+  @Override public Standing look(String key) {
+    return standing(read(file(key)));
+  }
+
+  private Standing standing(Claim claim) {
+    return claim == null ? new Free() : claim.owner == marks.number() ? new Mine()
+        : new Others(claim.digest, claim.untilUs);
+  }
+
+  @Override public Standing claim(String key, byte[] digest, long untilUs) {
+    if (mine.size() >= MOST_CLAIMS) {
+      counters.add("claims.full");
+      return new Free();
+    }
+    String file = file(key);
+    Path target = Path.of(marks.number() + ":" + untilUs + ":" + HEX.formatHex(digest));
+    try {
+      if (mine.containsKey(file)) { // an earlier window's, which no other process may touch
+        Files.deleteIfExists(folder.resolve(file + RESULT));
+        Files.createSymbolicLink(scratch, target);
+        Files.move(scratch, folder.resolve(file), StandardCopyOption.ATOMIC_MOVE);
+      } else {
+        Files.createSymbolicLink(folder.resolve(file), target);
+      }
+    } catch (FileAlreadyExistsException e) {
+      Claim claim = read(file);
+      return claim == null ? new Free() : standing(claim);
+    } catch (IOException e) {
+      counters.add("claims.failed");
+      log.warn("a key could not be claimed: " + e);
+      return new Free();
+    }
+    mine.put(file, untilUs);
+    kept.add(new Kept(file, untilUs));
+    counters.add("claims");
+    return new Mine();
+  }
+
+  @Override public void ended(String key, byte[] result) {
+    String file = file(key);
+    if (mine.containsKey(file)) {
+      write(file, result == null ? new byte[0] : framed(result));
+      if (result != null) {
+        results.add(file);
+        if (results.size() > MOST_RESULTS) {
+          String oldest = results.remove();
+          if (mine.containsKey(oldest)) {
+            write(oldest, new byte[0]);
+          }
+        }
+      }
+    }
+  }
+
+  /** A result behind a sign, so that an empty result and none differ. */
+  private static byte[] framed(byte[] result) {
+    byte[] framed = new byte[result.length + 1];
+    framed[0] = '+';
+    System.arraycopy(result, 0, framed, 1, result.length);
+    return framed;
+  }
+
+  private void write(String file, byte[] bytes) {
+    try {
+      Files.write(scratch, bytes);
+      Files.move(scratch, folder.resolve(file + RESULT), StandardCopyOption.ATOMIC_MOVE);
+    } catch (IOException e) {
+      counters.add("claims.failed");
+      log.warn("a result could not be shared: " + e);
+    }
+  }
+
+  @Override public void neverRan(String key) {
+    String file = file(key);
+    if (mine.remove(file) != null) {
+      delete(file);
+    }
+  }
+
+  @Override public Outcome outcome(String key) {
+    String file = file(key);
+    try {
+      byte[] bytes = Files.readAllBytes(folder.resolve(file + RESULT));
+      return new Outcome(true, bytes.length == 0 ? null : Arrays.copyOfRange(bytes, 1, bytes.length));
+    } catch (IOException e) {
+      Claim claim = read(file);
+      return claim == null ? new Outcome(false, null)
+          : marks.lives(claim.owner) || Files.exists(folder.resolve(file + RESULT)) ? null : new Outcome(true, null);
+    }
+  }
+
+  /** Takes away what has lapsed of this process, and, where no older one lives, of those that are dead. */
+  void expire(long nowUs, boolean oldest) {
+    while (!kept.isEmpty() && kept.peek().untilUs + lateUs < nowUs) {
+      Kept lapsed = kept.remove();
+      if (mine.remove(lapsed.file, lapsed.untilUs)) { // else it was claimed anew, or is free
+        results.remove(lapsed.file);
+        delete(lapsed.file);
+      }
+    }
+    if (oldest) {
+      expireDead(nowUs);
+    }
+  }
+
+  /** Only the oldest live process does this: two that delete could delete what a third has just claimed. */
+  private void expireDead(long nowUs) {
+    try (Stream<Path> files = Files.list(folder)) {
+      files.map(file -> file.getFileName().toString()).filter(file -> !file.contains(".") && !mine.containsKey(file))
+          .forEach(file -> {
+            Claim claim = read(file);
+            if (claim != null && claim.owner < marks.number() && claim.untilUs + lateUs < nowUs) {
+              delete(file);
+            }
+          });
+    } catch (IOException e) {
+      log.warn("old claims could not be listed: " + e);
+    }
+  }
+
+  private void delete(String file) {
+    try {
+      Files.deleteIfExists(folder.resolve(file));
+      Files.deleteIfExists(folder.resolve(file + RESULT));
+    } catch (IOException e) {
+      log.warn("a claim could not be taken away: " + e);
+    }
+  }
+}
--- a/src/main/java/rosecleat/net/Listener.java
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -5,8 +5,11 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import rosecleat.log.Log;
 
@@ -16,16 +19,21 @@
   private static final long RETRY_US = 20_000;
   /** A connection that has said nothing for so long is the first to go where places are short. */
   private static final long SILENT_NS = 250_000_000;
+  /** A call to accept that has stood for so long found nothing waiting. */
+  private static final long ARMED_NS = 5_000_000;
 
   private final EventLoop loop;
   private final AsynchronousServerSocketChannel server;
   private final Connection.Limits limits;
   private final Consumer<Connection> taker;
   private final Log log;
-  private final int most;
+  private int most;
   private final Set<Connection> open = new LinkedHashSet<>();
   private boolean waiting;
+  private boolean ending;
   private boolean closed;
+  private volatile boolean come;
+  private long armedNs;
   private long lastNs = System.nanoTime();
 
   /**
@@ -34,6 +42,12 @@
    */
   public Listener(EventLoop loop, InetSocketAddress at, int most, Connection.Limits limits,
       Consumer<Connection> taker) throws IOException {
+    this(loop, at, most, limits, taker, false);
+  }
+
+  /** The same; where {@code shared}, another process may listen at the address too, and takes some of what comes. */
+  public Listener(EventLoop loop, InetSocketAddress at, int most, Connection.Limits limits,
+      Consumer<Connection> taker, boolean shared) throws IOException {
     this.loop = loop;
     this.limits = limits;
     this.taker = taker;
@@ -42,6 +56,9 @@
     server = AsynchronousServerSocketChannel.open(loop.group());
     try {
       server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      if (shared) {
+        server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+      }
       server.bind(at, BACKLOG);
     } catch (IOException | RuntimeException e) {
       Connection.closeQuietly(server);
@@ -68,14 +85,39 @@
     }
   }
 
+  /** As many connections may be open from now on; those over it that are of use stay. */
+  public void places(int fresh) {
+    most = fresh;
+    if (waiting && open.size() < most) {
+      waiting = false;
+      accept();
+    }
+  }
+
+  /**
+   * Goes on accepting until nothing waits unaccepted, and closes at that instant: what waits at a socket that closes is
+   * reset, while others that listen at its address take all that comes later. True once it is closed.
+   */
+  public boolean closeWhenEmpty() {
+    ending = true;
+    if (!closed && !waiting && !come && System.nanoTime() - armedNs > ARMED_NS) {
+      shut(); // a call to accept that has stood for a while: nothing waits
+    }
+    return closed;
+  }
+
+  private void shut() {
+    closed = true;
+    Connection.closeQuietly(server);
+  }
+
   /**
    * Accepts nothing more, if no connection has come for so long; true once it is closed. Guards connections that
    * the system has accepted and this program has not taken yet: closing the socket would reset them.
    */
   public boolean closeIfQuiet(long quietUs) {
     if (!closed && (System.nanoTime() - lastNs) / 1_000 >= quietUs) {
-      closed = true;
-      Connection.closeQuietly(server);
+      shut();
     }
     return closed;
   }
@@ -91,13 +133,54 @@
       }
       return;
     }
+    if (ending) {
+      acceptRest();
+      return;
+    }
+    armedNs = System.nanoTime();
     try {
-      server.accept(null, Connection.handler(loop, this::accepted, this::refused));
+      server.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+        @Override public void completed(AsynchronousSocketChannel channel, Void none) {
+          come = true;
+          loop.execute(() -> {
+            come = false;
+            accepted(channel);
+          });
+        }
+
+        @Override public void failed(Throwable e, Void none) {
+          loop.execute(() -> refused(e));
+        }
+      });
     } catch (RuntimeException e) {
       refused(e);
     }
   }
 
+  /** Takes all that waits, and closes in the instant in which nothing does. */
+  private void acceptRest() {
+    try {
+      while (open.size() < most) {
+        Future<AsynchronousSocketChannel> next = server.accept();
+        boolean empty = !next.isDone();
+        if (empty) {
+          shut();
+        }
+        if (next.isDone()) {
+          take(next.get());
+        }
+        if (empty) {
+          return;
+        }
+      }
+      waiting = true;
+    } catch (ExecutionException | RuntimeException e) {
+      shut();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /**
    * Guards callers against being shut out by connections that nobody uses: closes the longest unused one with nothing
    * open on it, first of those that have kept silent for a while. Its place is free once it has ended.
@@ -122,6 +205,11 @@
   }
 
   private void accepted(AsynchronousSocketChannel channel) {
+    take(channel);
+    accept();
+  }
+
+  private void take(AsynchronousSocketChannel channel) {
     lastNs = System.nanoTime();
     Connection connection = new Connection(loop, channel, limits);
     open.add(connection);
@@ -132,7 +220,6 @@
       Connection.closeQuietly(channel);
       open.remove(connection);
     }
-    accept();
   }
 
   /** Guards against running out of descriptors: a failed accept is tried again, it never ends the listening. */
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -14,7 +14,10 @@
 import org.junit.jupiter.api.Test;
 import rosecleat.config.NodeConfig;
 import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.handover.Handover;
 import rosecleat.log.Log;
+import rosecleat.net.EventLoop;
 import rosecleat.standin.RespClient;
 import rosecleat.standin.StandInIndex;
 import rosecleat.standin.StandInRoster;
@@ -359,10 +362,16 @@
 
   /** Guards a drain by call against that of SIGTERM: only health checks may hear of it, and nothing is turned away. */
   @Test void whatOperatorsSayReachesHealthChecksAloneAndEndsWithTheirWord() throws IOException {
-    startReady();
-    Operators operators = new Operators();
+    Counters counters = new Counters();
+    Handover handover = new Handover(null, counters, log);
+    Operators operators = new Operators(handover);
     operators.drain(); // before the node stands
+    node = new Node(TestSite.config(runtime.port(), index.port(), roster.port(), 2_000, 500), null, new EventLoop(log),
+        handover, counters, log);
+    node.start();
     node.onLoop(() -> operators.serve(node));
+    client = new RespClient(node.port(), null);
+    await(this::ready);
     for (int round = 0; round < 2; round++) { // told twice is told once
       node.onLoop(operators::drain);
       assertEquals("DOWN", check());
--- a/src/test/java/rosecleat/front/resp/PatienceTest.java
+++ b/src/test/java/rosecleat/front/resp/PatienceTest.java
@@ -90,8 +90,10 @@
   }
 
   private static RespFront front(EventLoop loop, Core core, AtomicLong now, Log log) throws Exception {
-    return new RespFront(loop, new InetSocketAddress("127.0.0.1", 0), 100, core,
+    RespFront front = new RespFront(loop, new InetSocketAddress("127.0.0.1", 0), 100, core,
         new RespFront.Names(classes(), List.of("small"), new NoRuntime(loop, core)), now::get, log);
+    front.listen();
+    return front;
   }
 
   private static void ask(RespClient client, int tag) throws Exception {
--- a/src/test/java/rosecleat/front/resp/RespModelTest.java
+++ b/src/test/java/rosecleat/front/resp/RespModelTest.java
@@ -91,6 +91,7 @@
           new Counters(), log);
       front = new RespFront(loop, new InetSocketAddress("127.0.0.1", 0), 100, core,
           new RespFront.Names(classes, List.of("big", "small"), orders), clock, log);
+      front.listen();
       on(() -> {
         core.begin(null, false, 0);
         return null;
--- a/src/test/java/rosecleat/net/ListenerTest.java
+++ b/src/test/java/rosecleat/net/ListenerTest.java
@@ -66,6 +66,33 @@
     log.close();
   }
 
+  /** Guards callers in an upgrade: of those that connect while one of two sockets closes, none may be turned back. */
+  @Test void aSharedAddressLosesNobodyWhileOneOfTwoCloses() throws Exception {
+    loop = new EventLoop(log);
+    listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2_000,
+        Connection.Limits.SMALL, Echo::new, true);
+    InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port());
+    Listener other = new Listener(loop, at, 2_000, Connection.Limits.SMALL, Echo::new, true);
+    boolean[] closed = new boolean[1];
+    loop.after(50_000, () -> closeWhenEmpty(closed));
+    int asked = 0;
+    for (long end = System.nanoTime() + 300_000_000; System.nanoTime() < end; asked++) {
+      try (Socket socket = new Socket(at.getAddress(), at.getPort())) { // a storm: it never is quiet
+        socket.setSoTimeout(5_000);
+        assertEquals('x', say(socket, 'x'), "turned back after " + asked);
+      }
+    }
+    assertEquals(true, closed[0]);
+    assertEquals(at.getPort(), other.port());
+  }
+
+  private void closeWhenEmpty(boolean[] closed) {
+    closed[0] = listener.closeWhenEmpty();
+    if (!closed[0]) {
+      loop.after(2_000, () -> closeWhenEmpty(closed));
+    }
+  }
+
   @Test void connectionsThatNobodyUsesMakeRoomTheLongestUnusedFirst() throws Exception {
     loop = new EventLoop(log);
     listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 4,
