--- a/src/main/java/rosecleat/handover/FileClaims.java
+++ b/src/main/java/rosecleat/handover/FileClaims.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,7 +14,6 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
-import java.util.stream.Stream;
 import rosecleat.core.Claims;
 import rosecleat.core.Counters;
 import rosecleat.log.Log;
@@ -45,6 +45,7 @@
   private final ArrayDeque<Kept> kept = new ArrayDeque<>();
   private final ArrayDeque<String> results = new ArrayDeque<>();
   private long lateUs = 3_000_000;
+  private boolean othersLeft;
 
   FileClaims(Path folder, Marks marks, Counters counters, Log log) throws IOException {
     this.folder = Files.createDirectories(folder);
@@ -52,6 +53,7 @@
     this.counters = counters;
     this.log = log;
     scratch = folder.resolve("scratch-" + marks.number());
+    othersLeft = marks.number() > 1;
   }
 
   /** Claims outlast their window by so much, for tries that are read late. */
@@ -178,23 +180,27 @@
         delete(lapsed.file);
       }
     }
-    if (oldest) {
-      expireDead(nowUs);
+    try {
+      if (oldest && (othersLeft || marks.numbers().size() > 1)) {
+        expireDead(nowUs);
+      }
+    } catch (IOException e) {
+      log.warn("old claims could not be listed: " + e);
     }
   }
 
   /** Only the oldest live process does this: two that delete could delete what a third has just claimed. */
-  private void expireDead(long nowUs) {
-    try (Stream<Path> files = Files.list(folder)) {
-      files.map(file -> file.getFileName().toString()).filter(file -> !file.contains(".") && !mine.containsKey(file))
-          .forEach(file -> {
-            Claim claim = read(file);
-            if (claim != null && claim.owner < marks.number() && claim.untilUs + lateUs < nowUs) {
-              delete(file);
-            }
-          });
-    } catch (IOException e) {
-      log.warn("old claims could not be listed: " + e);
+  private void expireDead(long nowUs) throws IOException {
+    othersLeft = false;
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+      for (Path each : files) {
+        String file = each.getFileName().toString();
+        Claim claim = file.endsWith(RESULT) || mine.containsKey(file) ? null : read(file);
+        othersLeft |= claim != null;
+        if (claim != null && claim.untilUs + lateUs < nowUs && !marks.lives(claim.owner)) {
+          delete(file);
+        }
+      }
     }
   }
 
