Have patience with honest slow senders, remake a silent runtime's link, redial a lost roster

Lines at fault by reading: RespFront.closeIfSlow cut off a sender in the middle of a message after 2 s, with answers owed to it (lost); RuntimeLink waited for ever on a link that stays open; RosterClient left the notice to leave to the next second when a dial was refused.

--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -30,8 +30,10 @@
   private static final Connection.Limits LIMITS = new Connection.Limits(8 << 10, 64 << 10, 256 << 10, 5_000_000);
   /** A balancer that was told to close and has nothing open is given so long (us). */
   private static final long BYE_US = 1_000_000;
-  /** A connection's first message, and the rest of one that has begun, are awaited so long (us). */
-  private static final long PATIENCE_US = 2_000_000;
+  /** A connection that has brought no good request is closed when a whole message takes so long (us). */
+  private static final long PATIENCE_US = 2_200_000;
+  /** One that has is an honest sender, if a slow one. */
+  private static final long HONEST_US = 10_000_000;
   /** Mistakes that a connection may make in a row; a balancer that knows a class too few still sends others. */
   private static final int MOST_ERRORS = 64;
 
@@ -135,6 +137,7 @@
     private long usedUs = clock.getAsLong();
     private final long bornUs = clock.getAsLong();
     private boolean spoke;
+    private boolean honest;
     private long partSinceUs;
     private int errors;
     private boolean checks;
@@ -221,6 +224,7 @@
         return;
       }
       errors = 0;
+      honest = true;
       Core.Handle handle = core.submit(read.ask());
       if (!answered[0]) {
         open.put(tag, handle);
@@ -243,9 +247,14 @@
       }
     }
 
-    /** Guards places and memory against peers that say nothing, or never finish what they began to say. */
+    /**
+     * Guards places and memory against peers that say nothing, or never finish what they began to say; but no slow
+     * sender is cut off from answers that are owed to it.
+     */
     private void closeIfSlow(long now) {
-      if (!spoke && now - bornUs > PATIENCE_US || partSinceUs > 0 && now - partSinceUs > PATIENCE_US) {
+      long patienceUs = honest ? HONEST_US : PATIENCE_US;
+      if (open.isEmpty()
+          && (!spoke && now - bornUs > patienceUs || partSinceUs > 0 && now - partSinceUs > patienceUs)) {
         counters.add("resp.slow");
         connection.close("no whole message came in time");
       }
--- a/src/main/java/rosecleat/roster/RosterClient.java
+++ b/src/main/java/rosecleat/roster/RosterClient.java
@@ -17,6 +17,9 @@
 public final class RosterClient {
   private static final long EACH_US = 1_000_000;
   private static final long REPLY_US = 900_000;
+  /** A roster that can't be reached is tried again so soon: the notice to leave sooner than other reports (us). */
+  private static final long REDIAL_US = 200_000;
+  private static final long REDIAL_LEAVING_US = 100_000;
   /** How long the notice to leave waits for the answer to an earlier report (us). */
   private static final long HURRY_US = 100_000;
   private static final int LONGEST = 16 << 10;
@@ -29,6 +32,7 @@
   private Connection connection;
   private LineBuffer lines;
   private boolean dialling;
+  private boolean redialling;
   private boolean waiting;
   private boolean on = true;
   private boolean again;
@@ -123,11 +127,26 @@
         counters.add("roster.failed");
         if (!to.equals(address)) {
           report();
+        } else {
+          redial();
         }
       }
     });
   }
 
+  /** One attempt at a time, and never one that anything waits for: the node serves and leaves without its roster. */
+  private void redial() {
+    if (!redialling) {
+      redialling = true;
+      loop.after(on ? REDIAL_US : REDIAL_LEAVING_US, () -> {
+        redialling = false;
+        if (connection == null && !dialling) {
+          report();
+        }
+      });
+    }
+  }
+
   private void adopt(Connection fresh) {
     connection = fresh;
     lines = new LineBuffer(LONGEST);
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -28,6 +28,9 @@
   private static final long DIAL_US = 2_000_000;
   private static final long RETRY_US = 100_000;
   private static final long GAUGES_US = 200_000;
+  /** A link that stood and brought nothing for so long, though gauges were asked for, is taken for dead (us). */
+  private static final long SILENT_US = 3_000_000;
+  private static final long STOOD_US = 500_000;
   private static final int LONGEST = 1 << 20;
   private static final int WAITING = 4_096;
   /** A broken link loses no command older than 50 ms; so much earlier than we hear of the break is surely older (us). */
@@ -54,6 +57,8 @@
   private long lastNotice;
   private long brokenUs;
   private long gaugesAskedUs;
+  private long heardUs;
+  private long askedUs;
   private boolean gaugesOut;
 
   /** A link to an address; {@link #connect} opens it. */
@@ -119,6 +124,7 @@
         if (link != connection) {
           return; // replaced by a newer link
         }
+        heardUs = clock.getAsLong();
         if (!lines.add(bytes) || lines.tooLong()) {
           connection.close("the runtime sent a line that is too long");
           return;
@@ -175,6 +181,17 @@
 
   @Override public void askGauges() {
     long now = clock.getAsLong();
+    if (now - askedUs > STOOD_US) { // this process itself stood still: what came meanwhile has not been read yet
+      heardUs = now;
+    }
+    askedUs = now;
+    if (ready && now - heardUs > SILENT_US) { // open, and nothing comes: runs go on, and a new link tells of them
+      counters.add("runtime.silent");
+      log.warn("the runtime has been silent for " + (now - heardUs) / 1000 + " ms: its link is made anew");
+      heardUs = now;
+      link.close("the runtime is silent");
+      return;
+    }
     if (ready && (!gaugesOut || now - gaugesAskedUs > GAUGES_US)) {
       gaugesOut = true;
       gaugesAskedUs = now;
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -266,6 +266,26 @@
     assertEquals(1, runtime.startsOf("body 1"));
   }
 
+  /** Guards a node against a link that stays open and brings nothing: it must not wait for that for ever. */
+  @Test void aLinkThatFallsSilentIsMadeAnew() throws IOException {
+    startReady();
+    assertEquals("OK", answer("balance-check").get(1));
+    runtime.mute();
+    await(() -> count("runtime.silent") == 1);
+    client.close();
+    client = new RespClient(node.port(), null); // the other stood idle for too long
+    await(() -> answered("balance-check").equals("OK"));
+    assertEquals(1, count("runtime.silent"));
+  }
+
+  private String answered(String klass) {
+    try {
+      return answer(klass).get(1);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
   // ---- the index
 
   @Test void aCallIsMadeWithTheRunsBodyAndItsReplyGoesBack() throws IOException {
@@ -392,6 +412,23 @@
     return client.answer().get(1);
   }
 
+  /** Guards a release while the roster is down: the node serves and leaves without it, and tells it when it is back. */
+  @Test void aRosterThatIsDownHoldsNothingUpAndIsToldWhenItIsBack() throws Exception {
+    roster.down();
+    startReady();
+    assertEquals("OK", answer("balance-check").get(1));
+    await(() -> count("roster.failed") >= 3); // tried again sooner than the next second's report
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    node.leave(() -> left.complete(null));
+    Thread.sleep(300);
+    roster.up();
+    await(() -> !roster.reports.isEmpty());
+    assertTrue(roster.reports.get(0).contains("off"), roster.reports.toString());
+    roster.down();
+    client.close();
+    left.get(2, TimeUnit.SECONDS);
+  }
+
   @Test void theNoticeToLeaveIsReportedAtOnce() throws Exception {
     startReady();
     await(() -> count("roster.reports") > 0);
--- a/src/test/java/rosecleat/standin/StandInRuntime.java
+++ b/src/test/java/rosecleat/standin/StandInRuntime.java
@@ -45,6 +45,7 @@
   /** Sent once, behind the next start. */
   public volatile String spoil = "";
   public volatile long readyAfterMs;
+  private Socket muted;
 
   public StandInRuntime(int workMs) {
     this.workMs = workMs;
@@ -166,7 +167,15 @@
     send(notice);
   }
 
+  /** Says nothing more on the link there is, and keeps it open. */
+  public synchronized void mute() {
+    muted = link;
+  }
+
   private void send(ObjectNode message) {
+    if (link == muted) {
+      return;
+    }
     try {
       link.getOutputStream().write((message + "\n").getBytes(StandardCharsets.UTF_8));
     } catch (IOException e) {
