--- a/src/main/java/rosecleat/cli/Fronts.java
+++ b/src/main/java/rosecleat/cli/Fronts.java
@@ -16,9 +16,7 @@
   /** Accepts no further connection, once none has come for so long; true when none can come any more. */
   boolean stopListening(long quietUs) {
     boolean shut = resp.stopListening(quietUs) & (uwsgi == null || uwsgi.stopListening(quietUs));
-    if (uwsgi != null) {
-      uwsgi.closeIdle(quietUs);
-    }
+    closeIdle(quietUs);
     return shut;
   }
 
@@ -27,6 +25,13 @@
     return resp.handOver() & (uwsgi == null || uwsgi.handOver());
   }
 
+  /** Closes the second front's connections on which nothing of a request has come for so long. */
+  void closeIdle(long quietUs) {
+    if (uwsgi != null) {
+      uwsgi.closeIdle(quietUs);
+    }
+  }
+
   /** Connections that are open. */
   int open() {
     return resp.open() + (uwsgi == null ? 0 : uwsgi.open());
--- a/src/main/java/rosecleat/cli/HandOver.java
+++ b/src/main/java/rosecleat/cli/HandOver.java
@@ -10,6 +10,9 @@
  * to close after that, so that whatever they reconnect to is the other.
  */
 final class HandOver extends Leaving {
+  /** A caller of the second front that has sent nothing for so long is not waited for (us). */
+  private static final long CALM_US = 500_000;
+
   private final Handover handover;
   private boolean shut;
 
@@ -30,6 +33,9 @@
   /** Keyed runs nobody waits for here are waited for too: a repeat at the other process may ask for their results. */
   @Override boolean step(boolean hurry) {
     shut = shut || (handover.successorServes() || hurry) && fronts.handOver();
+    if (shut) {
+      fronts.closeIdle(CALM_US);
+    }
     return shut && core.inHand() == 0 && fronts.open() == 0;
   }
 }
