Let two processes of a node share its limits by what each takes, not half and half

Lines at fault: Node.look and Settings.share: half of the calls for each, and the whole again as soon as the old process is gone, while its calls are in the span of 5 s still. Ruled out: calls that outlive their process (the index gives them up when the connection closes). Tests: LoadsTest (fading; the sum of two that each take all they may stays within the whole, random steps), UpgradeTest.

--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -12,6 +12,7 @@
 import rosecleat.front.uwsgi.UwsgiFront;
 import rosecleat.front.uwsgi.UwsgiRunner;
 import rosecleat.handover.Handover;
+import rosecleat.handover.Load;
 import rosecleat.index.IndexClient;
 import rosecleat.log.Log;
 import rosecleat.mgmt.Door;
@@ -31,8 +32,6 @@
   private static final long LATE_US = 200_000;
   /** So often the node looks what its other processes do (us). */
   private static final long LOOK_US = 100_000;
-  /** The part of its limits that a process keeps to while there are two. */
-  private static final double HALF = 0.5;
   /** A process that hands over is killed so long after the longest deadline, which counts as so much at the most (us). */
   private static final long KILLED_US = 700_000;
   private static final long LONGEST_US = 3_000_000;
@@ -55,6 +54,8 @@
   private final Handover handover;
   private boolean listening;
   private boolean shared;
+  private Load own = Load.NONE;
+  private Load others = Load.NONE;
   private Leaving leaving;
   private long nextLookUs;
   private long beatUs = Long.MAX_VALUE;
@@ -242,20 +243,37 @@
     if (!listening && (core.ready() || !handover.predecessorLives())) {
       listen();
     }
-    boolean two = handover.predecessorLives() || handover.successorServes();
+    boolean two = handover.shared();
+    Decisions.Taken taken = decisions.taken(now);
+    own = new Load(taken.calls(), taken.memoryKb(), taken.running());
+    handover.tell(own);
+    Load before = others;
+    others = handover.others(now, numbering.settings().callsSpanUs());
     if (two != shared) {
       shared = two;
-      counters.add(two ? "shares.half" : "shares.whole");
-      log.info(two ? "two processes of this node serve: each keeps to half of its limits"
-          : "this process serves alone, by all of its limits");
-      retune(List.of());
+      counters.add(two ? "shares.two" : "shares.one");
+      log.info(two ? "two processes of this node live, and share its limits" : "this process is alone");
       resp.places(places());
+      retune(List.of());
+    } else if (two || !others.equals(before)) {
+      retune(List.of());
     }
   }
 
+  /** Tells the module the settings, with its part of the limits where another process takes some of them too. */
   private void retune(List<Integer> renamed) {
-    PolicyApi.Settings settings = numbering.settings();
-    decisions.retune(clock.getAsLong(), shared ? settings.share(HALF) : settings, numbering.gauges(), renamed);
+    decisions.retune(clock.getAsLong(), limits(), numbering.gauges(), renamed);
+  }
+
+  /** The settings in force, for use on the node's thread. */
+  PolicyApi.Settings limits() {
+    PolicyApi.Settings s = numbering.settings();
+    if (shared) {
+      return s.within(Load.part(own.memoryKb(), others.memoryKb(), s.memoryKb()),
+          Math.max(1, Load.part(own.running(), others.running(), s.cores() * s.fallMultiple()) / s.cores()),
+          Load.part(own.calls(), others.calls(), s.callsOut()));
+    }
+    return s.within(s.memoryKb(), s.fallMultiple(), Math.max(0, s.callsOut() - others.calls()));
   }
 
   /** Connections of balancers that may be open; what a process needs for itself it needs twice where there are two. */
--- a/src/main/java/rosecleat/handover/Handover.java
+++ b/src/main/java/rosecleat/handover/Handover.java
@@ -18,6 +18,7 @@
   private final Path drained;
   private final Marks marks;
   private final FileClaims claims;
+  private final Loads loads;
   private boolean aside;
   private boolean predecessor;
   private boolean successor;
@@ -31,12 +32,14 @@
       drained = null;
       marks = null;
       claims = null;
+      loads = null;
       return;
     }
     Path folder = Files.createDirectories(shared.resolve("rosecleat"));
     drained = folder.resolve("drained");
     marks = new Marks(folder);
     claims = new FileClaims(folder.resolve("keys"), marks, counters, log);
+    loads = new Loads(folder, marks.number());
     look(0);
     if (predecessor) {
       log.info("this is process " + marks.number() + " of its node, and takes over from an older one");
@@ -56,6 +59,7 @@
         if (number == marks.number() || !marks.lives(number)) {
           continue;
         }
+        loads.look(number, nowUs);
         older |= number < marks.number();
         newer |= number > marks.number();
         newerServes |= number > marks.number() && marks.serves(number);
@@ -80,10 +84,32 @@
     for (int number : marks.numbers()) {
       if (number < marks.number()) {
         marks.remove(number);
+        loads.remove(number);
       }
     }
   }
 
+  /** Tells other processes, where some live, what this one takes. */
+  public void tell(Load own) {
+    if (shared()) {
+      try {
+        loads.tell(own);
+      } catch (IOException e) {
+        log.warn("other processes can't be told what this one takes: " + e);
+      }
+    }
+  }
+
+  /** What other processes take, or took of late; at the time of the last look, for a span that calls are counted over. */
+  public Load others(long lookedUs, long spanUs) {
+    return loads == null ? Load.NONE : loads.others(lookedUs, Math.max(1, spanUs));
+  }
+
+  /** Whether another process lives. */
+  public boolean shared() {
+    return predecessor || successor;
+  }
+
   /** Whether an older process lives. */
   public boolean predecessorLives() {
     return predecessor;
--- a/src/main/java/rosecleat/policy/Decisions.java
+++ b/src/main/java/rosecleat/policy/Decisions.java
@@ -162,6 +162,15 @@
     }
   }
 
+  /** What a module takes of its server's limits: calls below in the mean of their span, KB of memory, requests run. */
+  public record Taken(double calls, double memoryKb, double running) { }
+
+  /** What is taken now. */
+  public Taken taken(long nowUs) {
+    double[] taken = policy == null ? new double[3] : policy.taken(Math.max(now, nowUs));
+    return new Taken(taken[0], taken[1], taken[2]);
+  }
+
   /** The next order, null where there is none. */
   public Order pick() {
     return orders.poll();
--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -424,10 +424,9 @@
   }
 
   /**
-   * What one more request of this tenant is worth: little once it is served its quota, as far as this
-   * server can see, and not the mean over all it sends. Over its quota is only who sends more than its
-   * quota a server and more than its part of all quotas: further tries and uneven load swell every tenant's
-   * rate alike, and a thin sample must not set those inside their shares against each other. Harm: where
+   * What one more request of this tenant is worth: little once it is served its quota. Over it is who sends
+   * more than its quota a server and more than its part of all quotas: further tries and uneven load swell
+   * all rates alike, and a thin sample must not set those inside their shares against each other. Harm: where
    * demand drifts, a newcomer is over its share only after some tens of arrivals.
    */
   private double shareWorth(int t) {
@@ -446,9 +445,8 @@
   }
 
   /**
-   * What an answer is worth here. A marked further try may be past its wanted time already, nobody says
-   * how long its client has waited: as likely as not. Guards against retries that crowd out first tries;
-   * harm: where first tries fail at once elsewhere, those retries are as good as new.
+   * What an answer is worth here. A marked further try is as likely as not past its wanted time; guards first
+   * tries against retries. Harm: where first tries fail at once elsewhere, their retries are as good as new.
    */
   private double worthOf(Item it) {
     return it.k.worth() * shareWorth(it.q.tenant()) * (it.q.retry() ? (1 + it.k.lateWorth()) / 2 : 1);
@@ -751,9 +749,8 @@
   // ---- calls below ------------------------------------------------------------------------------
 
   /**
-   * Makes the calls that fit into this server's share; what must wait too long goes on without. Where
-   * they don't all fit, those that lose most without it come first. Guards against a dependency that is
-   * slow, crowded or dead, whatever the cause; it could do harm where its room is far over all shares.
+   * Makes the calls that fit into this server's share, dearest first; what must wait long goes without.
+   * Guards against a dependency that is slow, crowded or dead. Harm: where its room is far over all shares.
    */
   private void calls(long now) {
     Item best;
@@ -840,21 +837,27 @@
   }
 
   /**
-   * Whether one more call fits into this server's share of what the dependency survives: the time at
-   * calls in the span that ends now, and all that those out and this one may still take, with what
-   * lingers after it is given up. So no later span can hold more than the share either.
+   * Whether one more call fits into this server's share of what the dependency survives: the time at calls
+   * in the span that ends now, with all that may still follow; so no later span can hold more either.
    */
   private boolean mayCall(long now, long until) {
+    double taken = callsTaken(now) + until + s.callLingerUs() - now;
+    return s.below() != Below.SHARED || taken <= s.callsOut() * s.callsSpanUs();
+  }
+
+  private double callsTaken(long now) {
     long start = now - s.callsSpanUs();
     callLog.removeIf(c -> c.until <= start);
-    if (s.below() != Below.SHARED) {
-      return true;
-    }
-    double taken = until + s.callLingerUs() - now;
+    double taken = 0;
     for (Call c : callLog) {
       taken += c.until - Math.max(c.from, start);
     }
-    return taken <= s.callsOut() * s.callsSpanUs();
+    return taken;
+  }
+
+  /** What is taken here of the server's limits: calls in the mean of their span, memory, requests run. */
+  double[] taken(long now) {
+    return new double[] {callsTaken(now) / Math.max(1, s.callsSpanUs()), memoryKb, running + away};
   }
 
   /** A call is over: at once where it came to an end, else it may linger below. */
--- a/src/main/java/rosecleat/policy/PolicyApi.java
+++ b/src/main/java/rosecleat/policy/PolicyApi.java
@@ -143,11 +143,11 @@
     }
 
     /** The same for one of several processes on this server, which together must keep to its limits. */
-    public Settings share(double part) {
-      return new Settings(cores, servers, callers, cold, coldShare, warmUs, part * memoryKb, runFactor, keyKb,
-          Math.max(1, part * fallMultiple), fallSpanUs, graceUs, slackUs, passesDeadline, tellsGone, marksRetry,
-          worthByWork, overShareWorth, halt, say, heededUs, maxHoldOffUs, readiness, deepChecks, idleUs,
-          shareReadsUs, below, part * callsOut, callsSpanUs, callLingerUs, roundUs, classes, tenants);
+    public Settings within(double partMemoryKb, double partFallMultiple, double partCallsOut) {
+      return new Settings(cores, servers, callers, cold, coldShare, warmUs, partMemoryKb, runFactor, keyKb,
+          partFallMultiple, fallSpanUs, graceUs, slackUs, passesDeadline, tellsGone, marksRetry, worthByWork,
+          overShareWorth, halt, say, heededUs, maxHoldOffUs, readiness, deepChecks, idleUs, shareReadsUs, below,
+          partCallsOut, callsSpanUs, callLingerUs, roundUs, classes, tenants);
     }
 
     private Settings with(boolean starting, List<Klass> allClasses, List<Tenant> allTenants) {
