Keep the beat going whatever one beat throws, and try contracts under new settings

Tests: LinksTest (a runner that throws once; the test times out without the fix, tried), UwsgiFrontTest (contracts after a reload that renames a class and adds a tenant in front).

--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -30,6 +30,8 @@
   private static final int OWN_SOCKETS = 64;
   /** A beat so much late is worth a line in the log (us). */
   private static final long LATE_US = 200_000;
+  /** The next beat after one that failed (us). */
+  private static final long BEAT_US = 20_000;
   /** So often the node looks what its other processes do (us). */
   private static final long LOOK_US = 100_000;
   /** A process that hands over is killed so long after the longest deadline, which counts as so much at the most (us). */
@@ -83,8 +85,7 @@
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
       runner = runtime == null ? new NoRuntime(loop, core) : runtime;
       roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
-      resp = new RespFront(loop, config.listen(), 1, core,
-          numbering.names(runner), clock, log);
+      resp = new RespFront(loop, config.listen(), 1, core, numbering.names(runner), clock, log);
       uwsgi = broker == null ? null : new UwsgiFront(loop, numbering.broker(), core, runner,
           new UwsgiRunner(loop, core, clock, broker.limits().replyBytes()), clock, log, ~config.seed());
       fronts = new Fronts(resp, uwsgi);
@@ -210,8 +211,19 @@
     });
   }
 
-  /** The module's clock and all that is done by time. What makes it late makes every answer late, so that is told. */
+  /** Beats for as long as the loop lives: whatever one beat throws ends that beat alone, else all timers would stand. */
   private void beat() {
+    long next = clock.getAsLong() + BEAT_US;
+    try {
+      next = beatOnce();
+    } finally {
+      beatUs = next;
+      loop.after(next - clock.getAsLong(), this::beat);
+    }
+  }
+
+  /** The module's clock and all that is done by time. What makes it late makes every answer late, so that is told. */
+  private long beatOnce() {
     long now = clock.getAsLong();
     long lateUs = now - beatUs;
     if (lateUs > LATE_US) {
@@ -234,8 +246,7 @@
       leaving = null; // said once; the process ends now
       whenLeft.run();
     }
-    beatUs = next;
-    loop.after(next - clock.getAsLong(), this::beat);
+    return next;
   }
 
   /** What the other processes of this node say and do. */
--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -399,6 +399,4 @@
       what.accept(life);
     }
   }
-
-
 }
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -63,7 +63,9 @@
 
   /** Listens for balancers from now on, beside any other process of this node that does. */
   public void listen() throws IOException {
-    listener = new Listener(loop, at, most, LIMITS, this::adopt, true);
+    if (listener == null) {
+      listener = new Listener(loop, at, most, LIMITS, this::adopt, true);
+    }
   }
 
   /** As many connections may be open from now on. */
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -53,6 +53,9 @@
 
   /** Listens where the broker's file says, beside any other process of this node that does. */
   public void listen() throws IOException {
+    if (listener != null) {
+      return; // it stands, and the other front could not listen
+    }
     BrokerConfig.Limits limits = config.limits();
     listener = new Listener(loop, config.listen(), config.connections(), new Connection.Limits(8 << 10, 64 << 10,
         limits.replyBytes() + HEAD_ROOM, limits.stallUs()), this::adopt, true);
--- a/src/test/java/rosecleat/cli/LinksTest.java
+++ b/src/test/java/rosecleat/cli/LinksTest.java
@@ -9,12 +9,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import rosecleat.config.NodeConfig;
+import rosecleat.core.Ask;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
+import rosecleat.core.Runner;
 import rosecleat.handover.Handover;
 import rosecleat.log.Log;
 import rosecleat.net.EventLoop;
@@ -87,6 +90,35 @@
     return client.answer();
   }
 
+  /** Guards all that is done by time: one beat that fails must not be the last. */
+  @Test void aBeatThatFailsIsFollowedByOthers() throws Exception {
+    startReady();
+    AtomicBoolean thrown = new AtomicBoolean();
+    node.onLoop(() -> node.core().begin(new FailingOnce(thrown), false, 0));
+    await(thrown::get);
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    node.leave(() -> left.complete(null));
+    client.close();
+    left.get(3, TimeUnit.SECONDS);
+  }
+
+  /** A runner that throws when it is first asked for gauges. */
+  private record FailingOnce(AtomicBoolean thrown) implements Runner {
+    @Override public void start(Ask ask, long dueUs) { }
+
+    @Override public void stop(String id) { }
+
+    @Override public void give(String id, byte[] reply) { }
+
+    @Override public void omit(String id, long notice) { }
+
+    @Override public void askGauges() {
+      if (!thrown.getAndSet(true)) {
+        throw new IllegalStateException("thrown by the test");
+      }
+    }
+  }
+
   // ---- the runtime
 
   @Test void healthChecksAreAnsweredWhileTheRuntimeComesUp() throws IOException {
--- a/src/test/java/rosecleat/cli/UwsgiFrontTest.java
+++ b/src/test/java/rosecleat/cli/UwsgiFrontTest.java
@@ -20,8 +20,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.NodeConfig;
 import rosecleat.standin.RespClient;
 import rosecleat.standin.StandInRuntime;
+import rosecleat.standin.TestSite;
 import rosecleat.standin.UwsgiBackend.Mood;
 import rosecleat.standin.UwsgiClient;
 import rosecleat.standin.UwsgiClient.Reply;
@@ -58,6 +61,21 @@
     assertEquals("text/plain", reply.header("Content-Type"));
   }
 
+  /** Guards contracts against reloads: their classes and tenants go by other numbers in a file with other names. */
+  @Test void contractsGoOnUnderNewSettings() throws IOException {
+    assertEquals(200, get("/files/a").status());
+    String file = TestSite.config(rig.runtime.port(), 0, 0, 3_000, 1_500).file().toString()
+        .replace("card-refresh", "card-status")
+        .replace("{\"name\":\"big\"", "{\"name\":\"new\",\"quota-per-s\":5},{\"name\":\"big\"");
+    NodeConfig fresh = NodeConfig.parse(file, Map.of());
+    assertEquals(3, fresh.start().tenants().size());
+    rig.node.reload(new Setup(fresh, BrokerConfig.read(folder.resolve("broker.yaml"), fresh.start())));
+    assertEquals(200, get("/cards/77/balance").status());
+    assertEquals(200, get("/files/a").status());
+    assertEquals(200, load("after", "x").status());
+    assertEquals(1L, (long) rig.ask(core -> core.counters().get("reloads")));
+  }
+
   @Test void anyCutOfTheBytesIsTheSameRequest() throws Exception {
     byte[] bytes = packet(vars("POST", "/cards/loads", "till", "HTTP_IDEMPOTENCY_KEY", "cut"), "amount=5");
     Random random = new Random(11);
