Move a process's part of the limits out of Node into a class of its own

No behaviour is changed: Shares finds the grant, tells the module and says the limits in force; Node only looks.

--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -12,7 +12,6 @@
 import rosecleat.front.uwsgi.UwsgiFront;
 import rosecleat.front.uwsgi.UwsgiRunner;
 import rosecleat.handover.Handover;
-import rosecleat.handover.Load;
 import rosecleat.index.IndexClient;
 import rosecleat.log.Log;
 import rosecleat.mgmt.Door;
@@ -54,10 +53,9 @@
   private final UwsgiFront uwsgi;
   private final Fronts fronts;
   private final Handover handover;
+  private final Shares shares;
   private boolean listening;
   private boolean shared;
-  private Load grant = Load.NONE;
-  private long lookedUs;
   private Leaving leaving;
   private long nextLookUs;
   private long beatUs = Long.MAX_VALUE;
@@ -81,6 +79,7 @@
       index = new IndexClient(loop, config.index(), clock, counters, log);
       decisions = new Decisions(numbering.settings(), numbering.gauges(), config.seed());
       core = new Core(numbering.rules(), decisions, index, handover.claims(), clock, counters, log);
+      shares = new Shares(handover, numbering, decisions, clock);
       index.tell(core);
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
       runner = runtime == null ? new NoRuntime(loop, core) : runtime;
@@ -194,8 +193,7 @@
       log.info("reloaded: classes " + fresh.start().classes() + ", runtime " + fresh.runtime() + ", index "
           + fresh.index() + ", roster " + fresh.roster());
       List<Integer> renamed = numbering.take(setup, core::usesClass, core::usesTenant);
-      share(lookedUs);
-      retune(renamed);
+      shares.retune(renamed, leaving != null);
       core.use(numbering.rules());
       handover.keepLate(core.longestDueUs());
       resp.places(places());
@@ -241,7 +239,7 @@
       drain(leaving.endUs());
     }
     if (leaving != null && leaving.over()) {
-      share(lookedUs); // what it took counts on for those that stay
+      shares.look(true); // what it took counts on for those that stay
       log.info(counters.toString());
       leaving = null; // said once; the process ends now
       whenLeft.run();
@@ -252,41 +250,23 @@
   /** What the other processes of this node say and do. */
   private void look(long now) {
     handover.look(now);
-    lookedUs = now;
     core.setAside(handover.drained());
     if (!listening && (core.ready() || !handover.predecessorLives())) {
       listen();
     }
     boolean two = handover.shared();
-    Load before = grant;
-    share(now);
     if (two != shared) {
       shared = two;
       counters.add(two ? "shares.two" : "shares.one");
       log.info(two ? "two processes of this node live, and share its limits" : "this process is alone");
       resp.places(places());
     }
-    if (!grant.equals(before)) {
-      retune(List.of());
-    }
-  }
-
-  /** Finds what this process may take of the node's limits beside its others, and tells them. */
-  private void share(long lookedUs) {
-    PolicyApi.Settings s = numbering.settings();
-    Decisions.Taken taken = decisions.taken(clock.getAsLong());
-    grant = handover.grant(new Load(s.callsOut(), s.memoryKb(), s.cores() * s.fallMultiple()),
-        new Load(taken.calls().get(0), taken.memoryKb(), taken.running()), taken.calls(), leaving != null, lookedUs);
-  }
-
-  private void retune(List<Integer> renamed) {
-    decisions.retune(clock.getAsLong(), limits(), numbering.gauges(), renamed);
+    shares.look(leaving != null);
   }
 
   /** The settings in force, with this process's part of the limits; for use on the node's thread. */
   PolicyApi.Settings limits() {
-    PolicyApi.Settings s = numbering.settings();
-    return s.within(grant.memoryKb(), Math.max(1, grant.running() / s.cores()), grant.calls());
+    return shares.limits();
   }
 
   /** Connections of balancers that may be open; what a process needs for itself it needs twice where there are two. */
--- a/src/main/java/rosecleat/handover/Handover.java
+++ b/src/main/java/rosecleat/handover/Handover.java
@@ -25,6 +25,7 @@
   private boolean successor;
   private boolean successorServes;
   private long nextExpiryUs;
+  private long lookedUs;
 
   /** Sees the processes that share a folder; null for none. */
   public Handover(Path shared, Counters counters, Log log) throws IOException {
@@ -52,6 +53,7 @@
     if (marks == null) {
       return;
     }
+    lookedUs = nowUs;
     try {
       boolean older = false;
       boolean newer = false;
@@ -97,7 +99,7 @@
    * @param taken what this process takes
    * @param calls what it takes of the calls below, now and after each further second without more
    */
-  public Load grant(Load whole, Load taken, List<Double> calls, boolean leaving, long lookedUs) {
+  public Load grant(Load whole, Load taken, List<Double> calls, boolean leaving) {
     if (loads == null) {
       return whole;
     }
