--- a/src/main/java/rosecleat/store/Names.java
+++ b/src/main/java/rosecleat/store/Names.java
@@ -37,6 +37,11 @@
         .sorted().toList();
   }
 
+  /** Whether a file is one of a store's; others in the folder are left alone. */
+  static boolean ours(String name) {
+    return name.matches("(MANIFEST|(log|snapshot)-[1-9][0-9]{0,17})(\\.new)?") || asideNumber(name) > 0;
+  }
+
   /** Whether a file was written aside and never finished. */
   static boolean unfinished(String name) {
     return name.endsWith(NEW);
--- a/src/main/java/rosecleat/store/Recovery.java
+++ b/src/main/java/rosecleat/store/Recovery.java
@@ -56,9 +56,7 @@
     names = disk.names();
     long bytes = 0;
     for (String name : names) {
-      try (Disk.In in = disk.open(name)) {
-        bytes += in.size();
-      }
+      bytes += Names.ours(name) ? size(name) : 0;
     }
     Fold fold = owner.fold();
     try {
@@ -78,7 +76,7 @@
   private Plan plan() throws IOException, Newer {
     List<Long> logNumbers = Names.logs(names);
     List<Long> snapshots = Names.snapshots(names);
-    names.stream().filter(Names::unfinished).forEach(leftovers::add);
+    names.stream().filter(Names::ours).filter(Names::unfinished).forEach(leftovers::add);
     long highest = Math.max(last(logNumbers), last(snapshots));
     if (highest == 0 && !names.contains(Names.MANIFEST)) {
       return new Plan(true, 0, 0, List.of(), 0, List.of(), List.copyOf(leftovers), false);
--- a/src/main/java/rosecleat/store/Store.java
+++ b/src/main/java/rosecleat/store/Store.java
@@ -33,7 +33,7 @@
   /** What a folder answers to being opened. */
   public sealed interface Opening { }
 
-  /** It is open, with what was found in it. */
+  /** It is open, with what was found in it; the store is null where it was only compacted. */
   public record Opened(Store store, Recovered found) implements Opening { }
 
   /** Another process writes to it. */
@@ -129,6 +129,10 @@
   public static Opening compact(Disk disk, Owner owner, long mostBytes) {
     AutoCloseable lock = null;
     try {
+      Recovered before = Recovery.read(disk, owner);
+      if (before.fresh()) {
+        return new Opened(null, before); // nothing to compact, and no reason to begin a store here
+      }
       lock = disk.lock(Names.LOCK);
       if (lock == null) {
         return new Locked();
