--- a/src/main/java/rosecleat/policy/Decisions.java
+++ b/src/main/java/rosecleat/policy/Decisions.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.function.Supplier;
 import rosecleat.policy.PolicyApi.Gauges;
 import rosecleat.policy.PolicyApi.Outcome;
 import rosecleat.policy.PolicyApi.Request;
@@ -96,6 +97,31 @@
   /** Spans of calls are seconds long. */
   private static final int MOST_SECONDS = 60;
 
+  /** What a lesson says: its unit, and what its samples are. */
+  public enum Topic {
+    /** The run time of a class alone on the cores (us); runs. */
+    RUN_TIME,
+    /** The usual length of a call below (us); calls. */
+    CALL_TIME,
+    /** The running limit (runs); seconds. */
+    LIMIT,
+    /** The limit on calls out (calls); seconds. */
+    CALL_LIMIT,
+    /** A tenant's part of the arrivals (share); arrivals. */
+    TENANT_PART
+  }
+
+  /** Something learnt, {@code of} a class or tenant by name; empty where it is of the server. */
+  public record Lesson(Topic topic, String of, double value, double samples) { }
+
+  /** The names that numbers of classes and tenants go by; null where a number has none. */
+  public record Names(List<String> classes, List<String> tenants) { }
+
+  /** A limit that rests on so many seconds is taken in whole. */
+  private static final double TRUSTED_S = 10;
+  /** Limits on calls from here on are none. */
+  private static final double NO_LIMIT = 1e5;
+
   private record Timer(long atUs, long nr, long tag) { }
 
   private Settings settings;
@@ -107,6 +133,11 @@
   private final Gauges gauges = new Gauges();
   private Policy policy;
   private boolean startedCold;
+  private long bornUs;
+  private double takenSeconds; // that what was taken in rests on
+  private double takenArrivals;
+  private Names lessonNames;
+  private Supplier<List<Lesson>> lessons;
   private long now;
   private long nr;
 
@@ -123,6 +154,92 @@
     startedCold = cold;
     policy = new Policy(settings.withCold(cold), seed, new Collector());
     policy.begin(sinceUs);
+    bornUs = -1; // its cores may be older than it is
+    if (lessons != null) {
+      teach(lessonNames, lessons);
+    }
+  }
+
+  /** What the module has learnt and another may use, by names; nothing before {@link #begin}. */
+  public List<Lesson> learnt(Names names) {
+    List<Lesson> all = new ArrayList<>();
+    if (policy == null) {
+      return all;
+    }
+    PolicyApi.Learnt l = policy.learnt();
+    for (int c = 0; c < Math.min(l.runs().length, names.classes.size()); c++) {
+      if (names.classes.get(c) != null && l.runs()[c] > 0) {
+        all.add(new Lesson(Topic.RUN_TIME, names.classes.get(c), l.runUs()[c], l.runs()[c]));
+      }
+    }
+    double seconds = takenSeconds + (bornUs < 0 ? 0 : now - bornUs) / (double) SECOND_US;
+    if (l.calls() > 0) {
+      all.add(new Lesson(Topic.CALL_TIME, "", l.callUs(), l.calls()));
+    }
+    all.add(new Lesson(Topic.LIMIT, "", l.limit(), seconds));
+    if (l.callLimit() < NO_LIMIT) {
+      all.add(new Lesson(Topic.CALL_LIMIT, "", l.callLimit(), seconds));
+    }
+    for (int t = 0; t < Math.min(l.parts().length, names.tenants.size()); t++) {
+      if (names.tenants.get(t) != null && takenArrivals + l.arrivals() > 0) {
+        all.add(new Lesson(Topic.TENANT_PART, names.tenants.get(t), l.parts()[t], takenArrivals + l.arrivals()));
+      }
+    }
+    return all;
+  }
+
+  /**
+   * Has the module take in what was learnt elsewhere, now or as soon as it begins; the lessons are asked for then, and as of
+   * then. What is seen here overtakes them; limits count in part where they rest on few seconds, and never over the module's
+   * ceilings. What names nothing here is left out.
+   */
+  public void teach(Names names, Supplier<List<Lesson>> source) {
+    if (policy == null) {
+      lessonNames = names;
+      lessons = source;
+      return;
+    }
+    lessons = null;
+    int classes = settings.classes().size();
+    int tenants = settings.tenants().size();
+    double[] runUs = new double[classes];
+    int[] runs = new int[classes];
+    double[] parts = policy.learnt().parts().clone();
+    double callUs = 0;
+    int calls = 0;
+    double limit = 0;
+    double callLimit = 0;
+    double arrivals = 0;
+    for (Lesson lesson : source.get()) {
+      int samples = (int) Math.round(lesson.samples);
+      switch (lesson.topic) {
+        case RUN_TIME -> {
+          int c = names.classes.indexOf(lesson.of);
+          if (c >= 0 && c < classes) {
+            runUs[c] = lesson.value;
+            runs[c] = samples;
+          }
+        }
+        case CALL_TIME -> {
+          callUs = lesson.value;
+          calls = samples;
+        }
+        case LIMIT -> {
+          limit = settings.cores() + (lesson.value - settings.cores()) * Math.min(1, lesson.samples / TRUSTED_S);
+          takenSeconds = lesson.samples;
+        }
+        case CALL_LIMIT -> callLimit = lesson.samples >= TRUSTED_S ? lesson.value : 0;
+        case TENANT_PART -> {
+          int t = names.tenants.indexOf(lesson.of);
+          if (t >= 0 && t < tenants) {
+            parts[t] = lesson.value;
+            arrivals = Math.max(arrivals, lesson.samples);
+          }
+        }
+      }
+    }
+    takenArrivals = arrivals;
+    policy.take(new PolicyApi.Learnt(runUs, runs, callUs, calls, limit, callLimit, parts, arrivals));
   }
 
   /**
@@ -192,6 +309,7 @@
   /** Runs the timers that are due and returns when the next one is. */
   public long tick(long nowUs) {
     now = Math.max(now, nowUs);
+    bornUs = bornUs < 0 ? now : bornUs;
     while (!timers.isEmpty() && timers.peek().atUs <= now) {
       policy.woken(now, timers.poll().tag, gauges);
     }
--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -126,6 +126,8 @@
   private long ratesAt;
   private double[] mean = {}; // us of run time by class (per us of hint where hints come)
   private int[] samples = {};
+  private double[] told = {}; // us of run time by class, as taken in from elsewhere, and the runs it rests on
+  private int[] toldRuns = {};
   private double stretch = 1;
   private double calm = 1;
   private double crowding = 1; // what wants the cores over the cores, smoothed; 1 while all of it fits
@@ -134,7 +136,7 @@
   private double[] served = {}; // recent runs that ended well, by tenant
   private double quotas; // requests a second inside all shares, over all servers
   private final double[] ring = new double[RING];
-  private int ringCount;
+  private long ringCount;
 
   // limit and guards
   double limit;
@@ -177,6 +179,8 @@
     s = settings;
     mean = Arrays.copyOf(mean, s.classes().size());
     samples = Arrays.copyOf(samples, mean.length);
+    told = Arrays.copyOf(told, mean.length);
+    toldRuns = Arrays.copyOf(toldRuns, mean.length);
     int known = tenantPart.length;
     tenantPart = Arrays.copyOf(tenantPart, s.tenants().size());
     served = Arrays.copyOf(served, tenantPart.length);
@@ -197,7 +201,7 @@
   @Override public void retuned(long now, Settings settings, List<Integer> renamed) {
     clock = now;
     use(settings);
-    renamed.forEach(c -> mean[c] = samples[c] = 0); // another class goes by the number now
+    renamed.forEach(c -> mean[c] = samples[c] = toldRuns[c] = 0); // another class goes by the number now
   }
 
   @Override public void arrived(long now, Request q) {
@@ -224,7 +228,7 @@
     countCaller(now, q.caller());
     unread += 0.1 * (Math.min(1, (double) q.ageUs() / it.k.aimUs()) - unread);
     double worth = worthOf(it);
-    ring[ringCount++ % RING] = worth;
+    ring[(int) (ringCount++ % RING)] = worth;
     admit(now, it, worth);
     dispatch(now);
   }
@@ -404,7 +408,9 @@
 
   /** The run time to expect now; 0 while nothing of the class has ended here. */
   private double expected(Item it) {
-    return mean[it.q.klass()] * (it.q.hintUs() > 0 ? it.q.hintUs() : 1) * stretch * crowding;
+    int c = it.q.klass();
+    double base = samples[c] < Math.min(KNOWN, toldRuns[c]) ? told[c] : mean[c];
+    return base * (it.q.hintUs() > 0 ? it.q.hintUs() : 1) * stretch * crowding;
   }
 
   /**
@@ -452,6 +458,31 @@
     return it.k.worth() * shareWorth(it.q.tenant()) * (it.q.retry() ? (1 + it.k.lateWorth()) / 2 : 1);
   }
 
+  // ---- what was learnt --------------------------------------------------------------------------
+
+  /** What was learnt here and holds beyond the moment; where little was, what was taken in is passed on. */
+  Learnt learnt() {
+    double[] base = new double[mean.length];
+    int[] runs = samples.clone();
+    for (int c = 0; c < base.length; c++) {
+      boolean known = samples[c] >= Math.min(KNOWN, toldRuns[c]);
+      base[c] = known ? mean[c] * calm : told[c];
+      runs[c] = known ? samples[c] : toldRuns[c];
+    }
+    return new Learnt(base, runs, callUsual, callsEnded, limit, callLimit, tenantPart, ringCount);
+  }
+
+  /** Takes in what was learnt elsewhere; run times stand in until some are seen. Harm: wrong ones mislead. */
+  void take(Learnt l) {
+    told = l.runUs().clone();
+    toldRuns = l.runs().clone();
+    callUsual = callTook = callsEnded == 0 && callTook == 0 ? l.callUs() : callTook;
+    limit = Math.max(limit, Math.min(l.limit(), CROWD_PART * crowd()));
+    callLimit = l.callLimit() > 0 ? Math.min(callLimit, Math.max(CALLS_LEAST, l.callLimit())) : callLimit;
+    double part = Math.min(1, l.arrivals() / SAMPLE);
+    Arrays.setAll(tenantPart, t -> tenantPart[t] + part * (l.parts()[t] - tenantPart[t]));
+  }
+
   // ---- admission gate ---------------------------------------------------------------------------
 
   /** F_cf for a request that competes with this part of the arrivals; 1 is every arrival, as in the paper. */
@@ -513,7 +544,7 @@
 
   /** The part of recent arrivals worth this much or more. */
   private double arriving(double worth) {
-    int n = Math.min(ringCount, RING);
+    int n = (int) Math.min(ringCount, RING);
     int found = 0;
     for (int i = 0; i < n; i++) {
       found += ring[i] >= worth ? 1 : 0;
--- a/src/main/java/rosecleat/policy/PolicyApi.java
+++ b/src/main/java/rosecleat/policy/PolicyApi.java
@@ -165,6 +165,14 @@
   record Request(long id, int klass, int tenant, long key, long leftUs, long hintUs, double heldKb, double rank,
       boolean retry, boolean write, long caller, long ageUs, long original) { }
 
+  /**
+   * What a module has learnt that holds beyond the moment, by numbers of classes and tenants: run times alone on the cores
+   * (us) and the runs they rest on; the usual length of a call (us) and the calls; its limits on runs and on calls out, 0
+   * for one that is not known; the tenants' parts of the arrivals, and the arrivals they rest on.
+   */
+  record Learnt(double[] runUs, int[] runs, double callUs, int calls, double limit, double callLimit, double[] parts,
+      double arrivals) { }
+
   /** The server's gauges; one that is not offered is negative. */
   final class Gauges {
     /** Share of the cores busy of late. */
