Log the uwsgi port when it listens: a process that takes over failed to start

Seen: a second process with a second front ended with a NullPointerException in Node.start, which logged the port of a socket that such a process opens only once its runtime is up. Found by MemoryTest's upgrade; it fails without this. The commit also carries the node's calls to what it keeps.

--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.NodeConfig;
@@ -36,6 +37,8 @@
   /** A process that hands over is killed so long after the longest deadline, which counts as so much at the most (us). */
   private static final long KILLED_US = 700_000;
   private static final long LONGEST_US = 3_000_000;
+  /** A disk is awaited so long at the end (ms). */
+  static final long SETTLE_MS = 50;
 
   private volatile NodeConfig config;
   private final Log log;
@@ -54,6 +57,7 @@
   private final Fronts fronts;
   private final Handover handover;
   private final Shares shares;
+  private final Learning learning;
   private boolean listening;
   private boolean shared;
   private Leaving leaving;
@@ -80,6 +84,8 @@
       decisions = new Decisions(numbering.settings(), numbering.gauges(), config.seed());
       core = new Core(numbering.rules(), decisions, index, handover.claims(), clock, counters, log);
       shares = new Shares(handover, numbering, decisions, clock);
+      learning = broker == null || broker.state() == null ? null
+          : new Learning(broker.state(), numbering, decisions, loop, clock, counters, log);
       index.tell(core);
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
       runner = runtime == null ? new NoRuntime(loop, core) : runtime;
@@ -104,6 +110,9 @@
 
   /** Opens the links and begins to serve. */
   void start() {
+    if (learning != null) {
+      learning.memory().start();
+    }
     loop.execute(() -> {
       if (runtime == null) {
         core.begin(null, false, 0);
@@ -113,9 +122,6 @@
       roster.begin();
       beat();
     });
-    if (uwsgi != null) {
-      log.info("uwsgi is on, at port " + uwsgi.port());
-    }
   }
 
   /** Logs the counters from now on, so often. */
@@ -168,6 +174,11 @@
       log.info("told to leave" + (handsOver ? " by a newer process that takes over, " : ", ") + core.inHand()
           + " in hand");
       counters.add(handsOver ? "leaves.handover" : "leaves.drain");
+      if (learning != null && handsOver) {
+        learning.memory().leave(clock.getAsLong()); // the newer process takes the folder over
+      } else if (learning != null) {
+        learning.memory().save(clock.getAsLong());
+      }
       long endUs = clock.getAsLong() + leftUs;
       if (handsOver) {
         leaving = new HandOver(core, fronts, handover, clock, endUs);
@@ -201,6 +212,9 @@
       if (uwsgi != null) {
         uwsgi.use(numbering.broker());
       }
+      if (learning != null) {
+        learning.use(setup.broker().state());
+      }
       if (runtime != null) {
         runtime.moveTo(fresh.runtime());
       }
@@ -240,6 +254,9 @@
     }
     if (leaving != null && leaving.over()) {
       shares.look(true); // what it took counts on for those that stay
+      if (learning != null) {
+        learning.memory().leave(now);
+      }
       log.info(counters.toString());
       leaving = null; // said once; the process ends now
       whenLeft.run();
@@ -262,6 +279,23 @@
       resp.places(places());
     }
     shares.look(leaving != null);
+    if (learning != null) {
+      learning.memory().look(now);
+    }
+  }
+
+  /** What the module has learnt; for any thread. */
+  CompletableFuture<List<Decisions.Lesson>> lessons() {
+    CompletableFuture<List<Decisions.Lesson>> answer = new CompletableFuture<>();
+    loop.execute(() -> answer.complete(decisions.learnt(numbering.learntNames())));
+    return answer;
+  }
+
+  /** Waits until what was learnt is written down, so long at the most (ms); for any thread. */
+  void settle(long mostMs) {
+    if (learning != null && !learning.memory().close(mostMs)) {
+      log.warn("what was learnt last could not be written down in time");
+    }
   }
 
   /** The settings in force, with this process's part of the limits; for use on the node's thread. */
@@ -282,7 +316,8 @@
       fronts.listen();
       listening = true;
       handover.serve();
-      log.info(config.name() + " listens on " + config.listen());
+      log.info(config.name() + " listens on " + config.listen()
+          + (uwsgi == null ? "" : ", and for uwsgi at port " + uwsgi.port()));
     } catch (IOException e) {
       log.warn("can't listen yet: " + e.getMessage());
     }
@@ -290,6 +325,9 @@
 
   /** Ends the node at once. */
   @Override public void close() {
+    if (learning != null) {
+      learning.memory().close(SETTLE_MS);
+    }
     loop.close();
     handover.close();
   }
