Keep what the node learnt in a folder, and show, verify and compact it

Section state: in the broker's file (folder, every_ms, max_mb, half_life_s), checked strictly; off where it is absent, and then no class of store, state, knowledge or protobuf is loaded (a test starts a process and looks).

--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -58,6 +58,9 @@
   @Parameters(commandDescription = "serve made-up requests on loopback, for the build's archive of classes")
   private static final class Rehearse { }
 
+  @Parameters(commandDescription = "show, verify or compact what a node keeps in a folder")
+  private static final class State { }
+
   @Parameters(commandDescription = "print the version")
   private static final class Version { }
 
@@ -82,13 +85,16 @@
     Check check = new Check();
     JCommander commands = JCommander.newBuilder().programName("rosecleat").addCommand("serve", serve)
         .addCommand("benchlink", new Benchlink()).addCommand("check", check)
-        .addCommand("rehearse", new Rehearse()).addCommand("version", new Version())
+        .addCommand("rehearse", new Rehearse()).addCommand("state", new State()).addCommand("version", new Version())
         .addCommand("help", new Help()).build();
     try {
+      if (args.length > 0 && args[0].equals("state")) { // its own commands are loaded only here
+        StateCommands.addTo(commands.getCommands().get("state"));
+      }
       commands.parse(args);
       String word = commands.getParsedCommand();
       if (word == null) {
-        throw new ParameterException("a command is needed: serve, benchlink, check, rehearse, version or help");
+        throw new ParameterException("a command is needed: serve, benchlink, check, rehearse, state, version or help");
       }
       switch (word) {
         case "serve" -> {
@@ -106,6 +112,16 @@
         case "rehearse" -> {
           return Rehearsal.run(NodeConfig.fromEnvironment(env)) ? 0 : 1;
         }
+        case "state" -> {
+          StateCommands.Result result =
+              new StateCommands(System.currentTimeMillis() * 1000).run(commands.getCommands().get("state"));
+          if (result.code() == StateCommands.UNUSABLE && result.text().startsWith("rosecleat: ")) {
+            System.err.println(oneLine(result.text()));
+          } else {
+            print(out, result.text());
+          }
+          return result.code();
+        }
         case "version" -> print(out, "rosecleat " + version());
         default -> {
           StringBuilder text = new StringBuilder();
--- a/src/main/java/rosecleat/cli/Numbering.java
+++ b/src/main/java/rosecleat/cli/Numbering.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.IntPredicate;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.SettingsReader;
@@ -10,6 +12,7 @@
 import rosecleat.core.Numbers;
 import rosecleat.core.Runner;
 import rosecleat.front.resp.RespFront;
+import rosecleat.policy.Decisions;
 import rosecleat.policy.PolicyApi;
 
 /** The files of a node as its parts see them: each class and tenant by the number that it keeps over reloads. */
@@ -85,6 +88,38 @@
     return new RespFront.Names(Collections.unmodifiableList(named), tenants.names(), runner);
   }
 
+  /** The names that what was learnt goes by; two contracts of one class with other terms differ in them. */
+  Decisions.Names learntNames() {
+    return new Decisions.Names(classes.names(), tenants.names());
+  }
+
+  /** The node's name. */
+  String node() {
+    return setup.node().name();
+  }
+
+  /** The figures of each class in force, by the name that what was learnt of it goes by. */
+  Map<String, PolicyApi.Klass> figures() {
+    Map<String, PolicyApi.Klass> figures = new HashMap<>();
+    for (int n = 0; n < classes.names().size(); n++) {
+      if (classes.names().get(n) != null) {
+        figures.put(classes.names().get(n), classes.terms().get(n).grade);
+      }
+    }
+    return figures;
+  }
+
+  /** The figures of each tenant in force, by name. */
+  Map<String, PolicyApi.Tenant> quotas() {
+    Map<String, PolicyApi.Tenant> quotas = new HashMap<>();
+    for (int n = 0; n < tenants.names().size(); n++) {
+      if (tenants.names().get(n) != null) {
+        quotas.put(tenants.names().get(n), tenants.terms().get(n));
+      }
+    }
+    return quotas;
+  }
+
   /** The second front's contracts and budgets; null where there is none. */
   BrokerConfig broker() {
     return setup.broker() == null ? null : setup.broker().renumbered(classKeys.stream().map(classes::of).toList(),
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -81,6 +81,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    node.settle(Node.SETTLE_MS);
     log.close();
     Runtime.getRuntime().halt(0);
   }
--- a/src/main/java/rosecleat/cli/Setup.java
+++ b/src/main/java/rosecleat/cli/Setup.java
@@ -1,5 +1,7 @@
 package rosecleat.cli;
 
+import java.nio.file.Path;
+import java.util.Objects;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.ConfigException;
 import rosecleat.config.NodeConfig;
@@ -13,5 +15,13 @@
         || broker.connections() != before.broker.connections() || !broker.limits().equals(before.broker.limits()))) {
       throw new ConfigException("where the second front listens and its limits need a restart");
     }
+    if (broker != null && !Objects.equals(folder(), before.folder())) {
+      throw new ConfigException("the folder of state needs a restart");
+    }
+  }
+
+  /** Where state is kept; null where it is not. */
+  private Path folder() {
+    return broker.state() == null ? null : broker.state().folder();
   }
 }
--- a/src/main/java/rosecleat/config/BrokerConfig.java
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -18,9 +18,13 @@
  * The second front's file: where uwsgi listens, what is described, and each service's contract and budget.
  *
  * @param start the node's settings, with the classes and tenants that contracts and budgets add at the end
+ * @param state where the node keeps what it learnt; null where it keeps nothing
  */
 public record BrokerConfig(InetSocketAddress listen, int connections, Limits limits, Vars vars,
-    List<Operation> operations, SettingsReader.Start start) {
+    List<Operation> operations, SettingsReader.Start start, State state) {
+
+  /** Where what was learnt is kept, in microseconds and bytes. */
+  public record State(Path folder, long everyUs, long maxBytes, long halfLifeUs) { }
 
   /** Bounds of the uwsgi connections, in bytes and microseconds. */
   public record Limits(int packetBytes, int bodyBytes, int replyBytes, long repliesBytes, long readUs,
@@ -50,9 +54,10 @@
       return new Operation(o.id, o.method, o.path, o.contentType, o.kind, classNumbers.get(o.klass), o.keyed,
           o.deadlineUs, o.kb, o.rank, o.backend, Map.copyOf(teams));
     }).toList();
-    return new BrokerConfig(listen, connections, limits, vars, all, start);
+    return new BrokerConfig(listen, connections, limits, vars, all, start, state);
   }
 
+  private static final List<String> STATE_KEYS = List.of("folder", "every_ms", "max_mb", "half_life_s");
   private static final String RUNTIME = "runtime";
   private static final String UWSGI = "uwsgi://";
 
@@ -115,7 +120,41 @@
           v.path("key").asText("HTTP_IDEMPOTENCY_KEY"), v.path("retry").asText("HTTP_X_RETRY"));
       return new BrokerConfig(listen, whole(uwsgi, "connections", 128), limits, vars, List.copyOf(operations),
           new SettingsReader.Start(start.settings().with(List.copyOf(classes), List.copyOf(tenants)),
-              start.gauges(), List.copyOf(classNames), List.copyOf(tenantNames)));
+              start.gauges(), List.copyOf(classNames), List.copyOf(tenantNames)), state());
+    }
+
+    /** The section {@code state}: strictly its own keys, each in its range. */
+    private State state() {
+      JsonNode section = root.path("state");
+      if (section.isMissingNode()) {
+        return null;
+      }
+      if (!section.isObject()) {
+        throw new ConfigException("state in the broker's file is no section; it needs at least folder: PATH");
+      }
+      section.fieldNames().forEachRemaining(key -> {
+        if (!STATE_KEYS.contains(key)) {
+          throw new ConfigException("state in the broker's file has no key " + key + ", but " + STATE_KEYS);
+        }
+      });
+      JsonNode at = section.path("folder");
+      if (!at.isTextual() || at.asText().isBlank()) {
+        throw new ConfigException("state in the broker's file lacks folder: a path, which may be relative to the file");
+      }
+      return new State(folder.resolve(at.asText()).normalize(), 1000L * within(section, "every_ms", 1_000, 100, 3_600_000),
+          (long) within(section, "max_mb", 16, 1, 100_000) << 20,
+          1_000_000L * within(section, "half_life_s", 600, 1, 31_536_000));
+    }
+
+    private static int within(JsonNode section, String key, int otherwise, int least, int most) {
+      JsonNode value = section.path(key);
+      if (value.isMissingNode()) {
+        return otherwise;
+      }
+      if (!value.isIntegralNumber() || value.asLong() < least || value.asLong() > most) {
+        throw new ConfigException("state." + key + " in the broker's file is not a whole number from " + least + " to " + most);
+      }
+      return value.asInt();
     }
 
     private void describe() {
--- a/src/test/java/rosecleat/cli/Rig.java
+++ b/src/test/java/rosecleat/cli/Rig.java
@@ -70,16 +70,21 @@
   /** A node that has a runtime, or (false) only its backends. */
   Rig(int workMs, int stopMs, int graceMs, Path folder, boolean hasRuntime) throws IOException {
     runtime = new StandInRuntime(workMs);
-    Files.writeString(folder.resolve("cards.yaml"), CARDS);
-    Files.writeString(folder.resolve("loads.yaml"), LOADS);
-    Files.writeString(folder.resolve("broker.yaml"), BROKER.formatted(0, backend.port()));
     NodeConfig config = TestSite.config(hasRuntime ? runtime.port() : 0, 0, 0, stopMs, graceMs);
-    node = new Node(config, BrokerConfig.read(folder.resolve("broker.yaml"), config.start()), log);
+    node = new Node(config, broker(folder, backend.port(), config, ""), log);
     node.start();
     uwsgiPort = node.uwsgiPort();
     await(core -> core.ready());
   }
 
+  /** A broker's file in a folder, with more sections at its end, read over a node's settings. */
+  static BrokerConfig broker(Path folder, int backend, NodeConfig config, String more) throws IOException {
+    Files.writeString(folder.resolve("cards.yaml"), CARDS);
+    Files.writeString(folder.resolve("loads.yaml"), LOADS);
+    Files.writeString(folder.resolve("broker.yaml"), BROKER.formatted(0, backend) + more);
+    return BrokerConfig.read(folder.resolve("broker.yaml"), config.start());
+  }
+
   /** Asks the core something on its own thread. */
   <T> T ask(Function<Core, T> question) {
     CompletableFuture<T> answer = new CompletableFuture<>();
