Open the kept folder during the warm-up, and keep the limit in use, not the last one

Seen when starts were measured: facts came 75 ms after the runtime was up (classes of protobuf), so the folder is opened on its own thread before the warm-up now; the running limit falls to its floor as soon as nothing needs it, so a node killed in a quiet second kept that: the lesson is the usual limit while half of it is in use; and a run time ten times too long had a class turned away for good, as none of it ran and nothing was learnt: what was told now goes after 8 requests it turned away, and one longer than the wanted time is dropped.

--- a/src/main/java/rosecleat/cli/Learning.java
+++ b/src/main/java/rosecleat/cli/Learning.java
@@ -17,6 +17,7 @@
 import rosecleat.policy.Decisions;
 import rosecleat.policy.PolicyApi;
 import rosecleat.state.Memory;
+import rosecleat.state.Opener;
 
 /**
  * What a node learnt, as it is kept between its processes: puts the node's settings in the terms of {@link Memory}. Loaded
@@ -26,25 +27,40 @@
   /** A call that takes more of the shortest wanted time than this would keep all calls from being made. */
   private static final double CALL_PART = 0.25;
 
-  private final Numbering numbering;
-  private final Memory memory;
+  private final BrokerConfig.State state;
+  private final Opener opener;
+  private final Log log;
+  private Numbering numbering;
+  private Memory memory;
 
-  Learning(BrokerConfig.State state, Numbering numbering, Decisions decisions, EventLoop loop, LongSupplier clock,
-      Counters counters, Log log) {
-    this.numbering = numbering;
-    memory = new Memory(settings(state),
+  /** Begins to open the folder; the node may stand later. */
+  Learning(BrokerConfig.State state, Log log) {
+    this.state = state;
+    this.log = log;
+    opener = new Opener(state.folder(), state.maxBytes(), log);
+  }
+
+  /** Where a broker keeps what it learnt; null where it keeps nothing. */
+  static Learning of(BrokerConfig broker, Log log) {
+    return broker == null || broker.state() == null ? null : new Learning(broker.state(), log);
+  }
+
+  /** The node stands: its module is given what was found, and what it learns is kept. */
+  void serve(Numbering of, Decisions decisions, EventLoop loop, LongSupplier clock, Counters counters) {
+    numbering = of;
+    memory = new Memory(settings(state), opener,
         new Memory.Node(this::terms, numbering::learntNames, decisions, clock, loop::execute), counters, log);
   }
 
   private static Memory.Settings settings(BrokerConfig.State s) {
-    return new Memory.Settings(s.folder(), s.everyUs(), s.maxBytes(), s.halfLifeUs());
+    return new Memory.Settings(s.everyUs(), s.halfLifeUs());
   }
 
   Memory memory() {
     return memory;
   }
 
-  /** Other settings, of the same folder. */
+  /** Other settings, of the same folder; its size is taken at the next start. */
   void use(BrokerConfig.State fresh) {
     memory.use(settings(fresh));
   }
@@ -59,7 +75,7 @@
     for (Map.Entry<String, PolicyApi.Klass> each : numbering.figures().entrySet()) {
       PolicyApi.Klass k = each.getValue();
       classes.put(each.getKey(), digest(k.toString()));
-      ceilings.put(new Fact.Name(Kind.RUN_TIME, each.getKey()), (double) k.dueUs());
+      ceilings.put(new Fact.Name(Kind.RUN_TIME, each.getKey()), (double) k.aimUs());
       callUs = k.calls() ? Math.min(callUs, CALL_PART * k.aimUs()) : callUs;
     }
     numbering.quotas().forEach((name, tenant) -> tenants.put(name, digest(tenant.toString())));
--- a/src/main/java/rosecleat/cli/Node.java
+++ b/src/main/java/rosecleat/cli/Node.java
@@ -67,13 +67,17 @@
 
   /** A node on a loop of its own; {@code broker} is null where there is no second front. */
   Node(NodeConfig config, BrokerConfig broker, Log log) throws IOException {
-    this(config, broker, new EventLoop(log), null, new Counters(), log);
+    this(config, broker, new EventLoop(log), null, new Counters(), null, log);
   }
 
-  /** A node on a loop that something else may use too; {@code handover} is null where it is its only process. */
-  Node(NodeConfig config, BrokerConfig broker, EventLoop loop, Handover others, Counters counters, Log log)
-      throws IOException {
+  /**
+   * A node on a loop that something else may use too; {@code others} is null where it is its only process, and
+   * {@code learning} where it keeps nothing.
+   */
+  Node(NodeConfig config, BrokerConfig broker, EventLoop loop, Handover others, Counters counters, Learning learning,
+      Log log) throws IOException {
     this.config = config;
+    this.learning = learning;
     this.log = log;
     this.loop = loop;
     this.counters = counters;
@@ -84,8 +88,9 @@
       decisions = new Decisions(numbering.settings(), numbering.gauges(), config.seed());
       core = new Core(numbering.rules(), decisions, index, handover.claims(), clock, counters, log);
       shares = new Shares(handover, numbering, decisions, clock);
-      learning = broker == null || broker.state() == null ? null
-          : new Learning(broker.state(), numbering, decisions, loop, clock, counters, log);
+      if (learning != null) {
+        learning.serve(numbering, decisions, loop, clock, counters);
+      }
       index.tell(core);
       runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
       runner = runtime == null ? new NoRuntime(loop, core) : runtime;
@@ -110,9 +115,6 @@
 
   /** Opens the links and begins to serve. */
   void start() {
-    if (learning != null) {
-      learning.memory().start();
-    }
     loop.execute(() -> {
       if (runtime == null) {
         core.begin(null, false, 0);
--- a/src/main/java/rosecleat/cli/Serving.java
+++ b/src/main/java/rosecleat/cli/Serving.java
@@ -46,10 +46,11 @@
       new Door(loop, config.mgmt(), operators, counters, log);
       log.info("operators are heard at " + config.mgmt());
     }
+    Learning learning = Learning.of(setup.broker(), log); // read during the warm-up
     if (config.runtime() != null) {
       Warmup.play(config);
     }
-    Node node = new Node(config, setup.broker(), loop, handover, counters, log);
+    Node node = new Node(config, setup.broker(), loop, handover, counters, learning, log);
     Serving serving = new Serving(node, log);
     new Thread(serving::stay, "stay").start();
     Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
--- a/src/main/java/rosecleat/policy/Decisions.java
+++ b/src/main/java/rosecleat/policy/Decisions.java
@@ -103,7 +103,7 @@
     RUN_TIME,
     /** The usual length of a call below (us); calls. */
     CALL_TIME,
-    /** The running limit (runs); seconds. */
+    /** The usual running limit while half of it or more was in use (runs); seconds of such use. */
     LIMIT,
     /** The limit on calls out (calls); seconds. */
     CALL_LIMIT,
@@ -119,6 +119,9 @@
 
   /** A limit that rests on so many seconds is taken in whole. */
   private static final double TRUSTED_S = 10;
+  /** The usual limit is a mean over some seconds of use: looked at so often, each look counts so much. */
+  private static final long LIMIT_EVERY_US = 100_000;
+  private static final double LIMIT_PART = 0.03;
   /** Limits on calls from here on are none. */
   private static final double NO_LIMIT = 1e5;
 
@@ -133,8 +136,9 @@
   private final Gauges gauges = new Gauges();
   private Policy policy;
   private boolean startedCold;
-  private long bornUs;
-  private double takenSeconds; // that what was taken in rests on
+  private double usualLimit; // while in use, smoothed: the limit itself falls as soon as nothing needs it
+  private double usedSeconds; // that it rests on
+  private long sampledUs;
   private double takenArrivals;
   private Names lessonNames;
   private Supplier<List<Lesson>> lessons;
@@ -154,7 +158,7 @@
     startedCold = cold;
     policy = new Policy(settings.withCold(cold), seed, new Collector());
     policy.begin(sinceUs);
-    bornUs = -1; // its cores may be older than it is
+    usualLimit = policy.limit;
     if (lessons != null) {
       teach(lessonNames, lessons);
     }
@@ -172,13 +176,14 @@
         all.add(new Lesson(Topic.RUN_TIME, names.classes.get(c), l.runUs()[c], l.runs()[c]));
       }
     }
-    double seconds = takenSeconds + (bornUs < 0 ? 0 : now - bornUs) / (double) SECOND_US;
     if (l.calls() > 0) {
       all.add(new Lesson(Topic.CALL_TIME, "", l.callUs(), l.calls()));
     }
-    all.add(new Lesson(Topic.LIMIT, "", l.limit(), seconds));
-    if (l.callLimit() < NO_LIMIT) {
-      all.add(new Lesson(Topic.CALL_LIMIT, "", l.callLimit(), seconds));
+    if (usedSeconds > 0) {
+      all.add(new Lesson(Topic.LIMIT, "", usualLimit, usedSeconds));
+    }
+    if (l.callLimit() < NO_LIMIT && l.calls() > 0) {
+      all.add(new Lesson(Topic.CALL_LIMIT, "", l.callLimit(), usedSeconds));
     }
     for (int t = 0; t < Math.min(l.parts().length, names.tenants.size()); t++) {
       if (names.tenants.get(t) != null && takenArrivals + l.arrivals() > 0) {
@@ -226,7 +231,7 @@
         }
         case LIMIT -> {
           limit = settings.cores() + (lesson.value - settings.cores()) * Math.min(1, lesson.samples / TRUSTED_S);
-          takenSeconds = lesson.samples;
+          usedSeconds = lesson.samples;
         }
         case CALL_LIMIT -> callLimit = lesson.samples >= TRUSTED_S ? lesson.value : 0;
         case TENANT_PART -> {
@@ -240,6 +245,17 @@
     }
     takenArrivals = arrivals;
     policy.take(new PolicyApi.Learnt(runUs, runs, callUs, calls, limit, callLimit, parts, arrivals));
+    usualLimit = policy.limit;
+  }
+
+  private void sampleLimit() {
+    if (policy != null && now - sampledUs >= LIMIT_EVERY_US) {
+      sampledUs = now;
+      if (policy.taken()[1] >= policy.limit / 2) {
+        usualLimit += LIMIT_PART * (policy.limit - usualLimit);
+        usedSeconds += LIMIT_EVERY_US / (double) SECOND_US;
+      }
+    }
   }
 
   /**
@@ -309,7 +325,7 @@
   /** Runs the timers that are due and returns when the next one is. */
   public long tick(long nowUs) {
     now = Math.max(now, nowUs);
-    bornUs = bornUs < 0 ? now : bornUs;
+    sampleLimit();
     while (!timers.isEmpty() && timers.peek().atUs <= now) {
       policy.woken(now, timers.poll().tag, gauges);
     }
--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -409,7 +409,7 @@
   /** The run time to expect now; 0 while nothing of the class has ended here. */
   private double expected(Item it) {
     int c = it.q.klass();
-    double base = samples[c] < Math.min(KNOWN, toldRuns[c]) ? told[c] : mean[c];
+    double base = samples[c] < toldRuns[c] ? told[c] : mean[c];
     return base * (it.q.hintUs() > 0 ? it.q.hintUs() : 1) * stretch * crowding;
   }
 
@@ -465,7 +465,7 @@
     double[] base = new double[mean.length];
     int[] runs = samples.clone();
     for (int c = 0; c < base.length; c++) {
-      boolean known = samples[c] >= Math.min(KNOWN, toldRuns[c]);
+      boolean known = samples[c] >= toldRuns[c];
       base[c] = known ? mean[c] * calm : told[c];
       runs[c] = known ? samples[c] : toldRuns[c];
     }
@@ -475,7 +475,7 @@
   /** Takes in what was learnt elsewhere; run times stand in until some are seen. Harm: wrong ones mislead. */
   void take(Learnt l) {
     told = l.runUs().clone();
-    toldRuns = l.runs().clone();
+    toldRuns = Arrays.stream(l.runs()).map(n -> Math.min(n, KNOWN)).toArray();
     callUsual = callTook = callsEnded == 0 && callTook == 0 ? l.callUs() : callTook;
     limit = Math.max(limit, Math.min(l.limit(), CROWD_PART * crowd()));
     callLimit = l.callLimit() > 0 ? Math.min(callLimit, Math.max(CALLS_LEAST, l.callLimit())) : callLimit;
@@ -685,7 +685,9 @@
       return false;
     }
     long end = it.k.lateWorth() > 0 && !bound(now) ? it.due - MARGIN_US : it.aim;
-    return now + RUN_PART * expected(it) >= end;
+    boolean hopeless = now + RUN_PART * expected(it) >= end;
+    toldRuns[it.q.klass()] -= hopeless && now < end && toldRuns[it.q.klass()] > 0 ? 1 : 0; // it may be wrong
+    return hopeless;
   }
 
   /** An effect that has run: held again after a drop, it must not run a second time. */
--- a/src/main/java/rosecleat/store/Engine.java
+++ b/src/main/java/rosecleat/store/Engine.java
@@ -83,9 +83,9 @@
   private void setAside(List<String> names) throws IOException {
     List<String> there = new ArrayList<>(Names.asides(disk.names()));
     long k = there.isEmpty() ? 0 : Names.asideNumber(there.get(there.size() - 1));
-    for (String name : names) {
-      String to = Names.aside(++k, name);
-      disk.rename(name, to);
+    for (int i = names.size() - 1; i >= 0; i--) { // the first is what is damaged, others only follow it: it is kept longest
+      String to = Names.aside(++k, names.get(i));
+      disk.rename(names.get(i), to);
       there.add(to);
     }
     asideBytes = 0;
--- /dev/null
+++ b/src/test/java/rosecleat/cli/StateCommandsTest.java
@@ -0,0 +1,120 @@
+package rosecleat.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rosecleat.knowledge.Fact;
+import rosecleat.knowledge.Kind;
+import rosecleat.state.FactOwner;
+import rosecleat.state.StateFiles;
+import rosecleat.store.Folder;
+import rosecleat.store.Store;
+
+/** state show, verify and compact: what they print and how they end. */
+class StateCommandsTest {
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  @TempDir Path temp;
+  private Path folder;
+
+  @BeforeEach void fill() throws IOException {
+    folder = temp.resolve("kept");
+    long now = System.currentTimeMillis() * 1000;
+    for (int i = 0; i < 20; i++) {
+      StateFiles.learnt(folder, "n1", new Fact(Kind.RUN_TIME, "read", 20_000 + i, 8, now - 60_000_000, "t"));
+    }
+  }
+
+  private int run(String... args) {
+    out.reset();
+    err.reset();
+    PrintStream before = System.err;
+    System.setErr(new PrintStream(err, true));
+    try {
+      return Main.run(args, Map.of(), null, out);
+    } finally {
+      System.setErr(before);
+    }
+  }
+
+  private JsonNode json() throws IOException {
+    return new ObjectMapper().readTree(out.toString());
+  }
+
+  private void damage() throws IOException {
+    Path log = folder.resolve("log-1");
+    byte[] bytes = Files.readAllBytes(log);
+    bytes[50] ^= 1;
+    Files.write(log, bytes);
+  }
+
+  @Test void showListsWhatCounts() throws IOException {
+    assertEquals(0, run("state", "show", folder.toString()));
+    assertTrue(out.toString().contains("run-time") && out.toString().contains("2.002e+04"), out.toString());
+    assertEquals(0, run("state", "show", "--json", folder.toString()));
+    JsonNode fact = json().path("facts").get(0);
+    assertEquals(20_019, fact.path("value").asDouble());
+    assertEquals(60, fact.path("age_s").asDouble(), 30);
+  }
+
+  @Test void verifyTellsWhatIsDamagedAndWhere() throws IOException {
+    assertEquals(0, run("state", "verify", folder.toString()));
+    assertTrue(out.toString().contains("is whole"), out.toString());
+    damage();
+    assertEquals(3, run("state", "verify", folder.toString()));
+    assertTrue(out.toString().contains("damage: log-1 at byte 40"), out.toString());
+    assertEquals(3, run("state", "verify", "--json", folder.toString()));
+    assertEquals("damaged", json().path("state").asText());
+    assertEquals(2, run("state", "verify", temp.resolve("none").toString()));
+    assertTrue(err.toString().contains("there is no folder"), err.toString());
+    assertEquals(2, run("state", "show", "--json", temp.resolve("none").toString()));
+    assertTrue(json().path("error").asText().contains("there is no folder"));
+    Files.createDirectory(temp.resolve("bare"));
+    assertEquals(0, run("state", "verify", temp.resolve("bare").toString()));
+    assertTrue(out.toString().contains("is empty"), out.toString());
+  }
+
+  @Test void compactKeepsWhatCountsInLessAndMendsWhatCanBe() throws IOException {
+    assertEquals(0, run("state", "compact", "--json", folder.toString()));
+    assertTrue(json().path("after").asLong() < json().path("before").asLong(), out.toString());
+    assertEquals(0, run("state", "show", "--json", folder.toString()));
+    assertEquals(20_019, json().path("facts").get(0).path("value").asDouble());
+    Store.Opening open = Store.open(Folder.of(folder), new FactOwner(), new Store.Limits(1 << 20, 8, 1 << 20), l -> { });
+    try (Store store = assertInstanceOf(Store.Opened.class, open).store()) {
+      assertEquals(2, run("state", "compact", folder.toString()));
+      assertTrue(err.toString().contains("a running node writes"), err.toString());
+    }
+  }
+
+  @Test void compactOfADamagedFolderSaysSo() throws IOException {
+    damage();
+    assertEquals(3, run("state", "compact", folder.toString()));
+    assertTrue(out.toString().contains("set aside"), out.toString());
+    assertEquals(0, run("state", "verify", folder.toString()));
+    String[] aside = folder.toFile().list((in, name) -> name.startsWith("damaged-"));
+    assertEquals(4, aside.length, "no more are kept");
+    assertTrue(java.util.Arrays.stream(aside).anyMatch(name -> name.endsWith("-log-1")), "the one with the damage is");
+  }
+
+  @Test void helpHasExamplesAndWrongWordsEndWithTwo() {
+    assertEquals(0, run("state"));
+    assertTrue(out.toString().contains("Examples:"));
+    assertEquals(0, run("state", "show", "--help"));
+    assertTrue(out.toString().contains("Examples:"));
+    assertEquals(2, run("state", "show"));
+    assertEquals(2, run("state", "shwo", "x"));
+  }
+}
