--- a/src/test/java/rosecleat/measure/StoreSpeed.java
+++ b/src/test/java/rosecleat/measure/StoreSpeed.java
@@ -46,7 +46,7 @@
     }
 
     @Override public void forEach(Consumer<Entry> taker) {
-      throw new UnsupportedOperationException("it keeps nothing");
+      return; // a compaction leaves nothing
     }
   }
 
