Pass a service's own answer on whole: status, headers, body; HEAD and OPTIONS

Need: a service's 404 reached the caller as a 502 without its headers, and HEAD and OPTIONS got 405. HEAD is asked for as GET, OPTIONS answered from the routes.

--- a/src/main/java/rosecleat/front/uwsgi/Requests.java
+++ b/src/main/java/rosecleat/front/uwsgi/Requests.java
@@ -59,6 +59,9 @@
     }
     Routes.Found found = routes.find(method, path);
     Operation operation = found.operation();
+    if (operation == null && method.equals("OPTIONS") && !found.allow().isEmpty()) {
+      return new Outcome(null, null, new HttpReply(204, Map.of("Allow", found.allow()), new byte[0]));
+    }
     if (operation == null) {
       return found.allow().isEmpty() ? wrong(404, Map.of(), "no such operation")
           : wrong(405, Map.of("Allow", found.allow()), "the operation has other methods");
@@ -121,6 +124,7 @@
   private static Map<String, String> passedOn(UwsgiPacket packet, Operation operation) {
     Map<String, String> vars = new HashMap<>(packet.vars());
     vars.remove("CONTENT_LENGTH"); // the client writes its own
+    vars.put("REQUEST_METHOD", operation.method()); // a HEAD is asked for by its GET
     vars.put(UwsgiRunner.BACKEND, operation.backend().getHostString() + ":" + operation.backend().getPort());
     return vars;
   }
--- a/src/main/java/rosecleat/front/uwsgi/Routes.java
+++ b/src/main/java/rosecleat/front/uwsgi/Routes.java
@@ -9,7 +9,7 @@
 
 /** Finds the operation of a method and a path; literal segments go before templates. */
 final class Routes {
-  /** What was found: an operation with its path parameters, or the methods the path has, or nothing. */
+  /** What was found: an operation with its path parameters, or the methods the path may be asked by, or nothing. */
   record Found(Operation operation, Map<String, String> parameters, String allow) { }
 
   private static final class Node {
@@ -42,14 +42,27 @@
     return matches.isEmpty() ? new Found(null, Map.of(), String.join(", ", allowed)) : matches.get(0);
   }
 
+  private static void allow(Node node, TreeSet<String> allowed) {
+    if (!node.methods.isEmpty()) {
+      allowed.addAll(node.methods.keySet());
+      allowed.add("OPTIONS");
+      if (node.methods.containsKey("GET")) {
+        allowed.add("HEAD");
+      }
+    }
+  }
+
   private static void walk(Node node, String[] segments, int at, Map<String, String> parameters, String method,
       List<Found> matches, TreeSet<String> allowed) {
     if (!matches.isEmpty()) {
       return;
     }
     if (at == segments.length) {
-      allowed.addAll(node.methods.keySet());
+      allow(node, allowed);
       Operation operation = node.methods.get(method);
+      if (operation == null && method.equals("HEAD")) {
+        operation = node.methods.get("GET"); // answered as that is, without the body
+      }
       if (operation != null) {
         matches.add(new Found(operation, new LinkedHashMap<>(parameters), ""));
       }
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -26,7 +26,7 @@
   private static final String PLAIN = "text/plain; charset=utf-8";
   /** An answer that comes so shortly before it is due was given up on for lack of time (us). */
   private static final long NEARLY_DUE_US = 50_000;
-  private static final int HEAD_ROOM = 4 << 10;
+  private static final int HEAD_ROOM = 20 << 10;
 
   private final EventLoop loop;
   private BrokerConfig config;
@@ -121,6 +121,7 @@
     private long dueUs;
     private boolean taken;
     private boolean answered;
+    private boolean headOnly;
     private int booked;
 
     Caller(Connection connection) {
@@ -156,6 +157,7 @@
 
     private void request(UwsgiPacket packet) {
       counters.add("uwsgi.requests");
+      headOnly = packet.var("REQUEST_METHOD").equals("HEAD");
       Requests.Outcome read = requests.read(packet, clock.getAsLong(), this::answer);
       if (read.wrong() != null) {
         reply(read.wrong(), PLAIN);
@@ -211,21 +213,31 @@
 
     /** Guards the memory that all callers' replies take together. */
     private void serve(byte[] result) {
-      if (result.length > config.limits().replyBytes() || replying + result.length > config.limits().repliesBytes()) {
+      ServiceReply own = operation.backend() == null ? null : ServiceReply.read(result);
+      byte[] body = own == null ? result : own.body(); // the runtime's, or of a program that kept bodies alone
+      if (body.length > config.limits().replyBytes() || replying + body.length > config.limits().repliesBytes()) {
         counters.add("uwsgi.noroom");
-        log.warn("no room for a reply of " + result.length + " bytes, " + replying + " wait");
+        log.warn("no room for a reply of " + body.length + " bytes, " + replying + " wait");
         reply(HttpReply.words(502, progress(Progress.RAN), "no room for the reply"), PLAIN);
         return;
       }
-      booked = result.length;
+      booked = body.length;
       replying += booked;
-      reply(new HttpReply(200, Map.of(), result), operation.contentType());
+      if (own == null) {
+        reply(new HttpReply(200, Map.of(), body), operation.contentType());
+      } else {
+        write(own.status(), own.head(operation.contentType()), body);
+      }
     }
 
     private void reply(HttpReply reply, String contentType) {
-      counters.add("uwsgi.status." + reply.status());
-      if (connection.write(reply.head(contentType)) && reply.body().length > 0) {
-        connection.write(ByteBuffer.wrap(reply.body()));
+      write(reply.status(), reply.head(contentType), reply.body());
+    }
+
+    private void write(int status, ByteBuffer head, byte[] body) {
+      counters.add("uwsgi.status." + status);
+      if (connection.write(head) && body.length > 0 && !headOnly) {
+        connection.write(ByteBuffer.wrap(body));
       }
       connection.closeWhenWritten();
       patience.cancel(false);
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -122,9 +122,11 @@
       }
     }
 
+    /** Whatever a service answers whole is its answer, also that something is not there or went wrong. */
     private void finished() {
-      boolean good = parser.status() >= 200 && parser.status() < 300;
-      end(good ? End.OK : End.FAILED, good ? parser.body() : null);
+      ServiceReply reply = parser.reply();
+      counters.add("backend.status." + reply.status() / 100 + "xx");
+      end(End.OK, reply.result());
     }
 
     private void late() {
--- a/src/test/java/rosecleat/standin/UwsgiBackend.java
+++ b/src/test/java/rosecleat/standin/UwsgiBackend.java
@@ -16,6 +16,8 @@
   public volatile Mood mood = Mood.GOOD;
   public volatile int bytes = 10;
   public volatile String lastPacket = "";
+  /** Sent as it stands, where it is not empty. */
+  public volatile String script = "";
 
   @Override protected void serve(Socket socket) throws IOException {
     DataInputStream in = new DataInputStream(socket.getInputStream());
@@ -28,6 +30,10 @@
     int at = lastPacket.indexOf("CONTENT_LENGTH") + 16; // behind the name come two bytes of length
     in.readFully(new byte[Integer.parseInt(lastPacket.substring(at, at + lastPacket.charAt(at - 2)))]);
     requests.incrementAndGet();
+    if (!script.isEmpty()) {
+      socket.getOutputStream().write(script.getBytes(StandardCharsets.ISO_8859_1));
+      return;
+    }
     switch (mood) {
       case GOOD -> {
         socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n"
