--- a/src/main/java/rosecleat/cli/Learning.java
+++ b/src/main/java/rosecleat/cli/Learning.java
@@ -32,6 +32,7 @@
   private final Log log;
   private Numbering numbering;
   private Memory memory;
+  private Terms terms; // of the settings in force, worked out once
 
   /** Begins to open the folder; the node may stand later. */
   Learning(BrokerConfig.State state, Log log) {
@@ -62,11 +63,17 @@
 
   /** Other settings, of the same folder; its size is taken at the next start. */
   void use(BrokerConfig.State fresh) {
+    terms = null;
     memory.use(settings(fresh));
   }
 
   /** The settings in force, as far as what was learnt depends on them. */
   private Terms terms() {
+    terms = terms == null ? reckoned() : terms;
+    return terms;
+  }
+
+  private Terms reckoned() {
     PolicyApi.Settings s = numbering.settings();
     Map<String, String> classes = new HashMap<>();
     Map<String, String> tenants = new HashMap<>();
--- a/src/main/java/rosecleat/state/Memory.java
+++ b/src/main/java/rosecleat/state/Memory.java
@@ -1,6 +1,10 @@
 package rosecleat.state;
 
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -13,7 +17,6 @@
 import rosecleat.log.Log;
 import rosecleat.policy.Decisions;
 import rosecleat.policy.Decisions.Lesson;
-import rosecleat.store.Entry;
 import rosecleat.store.Recovered;
 import rosecleat.store.Store;
 
@@ -32,7 +35,13 @@
   private final Node node;
   private final Counters counters;
   private final Log log;
-  private final Changes changes = new Changes();
+  private final Changes changes = new Changes(); // the saver's
+  private final AtomicBoolean saving = new AtomicBoolean(); // one at a time: a slow one costs the next
+  private final ExecutorService saver = Executors.newSingleThreadExecutor(task -> {
+    Thread thread = new Thread(task, "state saver");
+    thread.setDaemon(true);
+    return thread;
+  });
   private final Opener opener;
   private Settings settings;
   private boolean opened;
@@ -93,23 +102,35 @@
     }
   }
 
-  /** Writes down what has changed, now. */
+  /** Writes down what has changed, now. Only what was learnt is copied here: all else is done on a thread of its own. */
   public void save(long nowUs) {
     Store to = opener.store();
-    if (to == null || !given || !node.decisions.begun()) {
+    if (to == null || !given || !node.decisions.begun() || saver.isShutdown() || !saving.compareAndSet(false, true)) {
       return;
     }
+    List<Lesson> lessons = node.decisions.learnt(node.names.get());
     Terms terms = node.terms.get();
-    List<Fact> facts = node.decisions.learnt(node.names.get()).stream().map(l -> fact(l, terms, nowUs))
+    double halfLifeUs = settings.halfLifeUs();
+    saver.execute(() -> {
+      try {
+        write(to, lessons, terms, halfLifeUs, nowUs);
+      } finally {
+        saving.set(false);
+      }
+    });
+  }
+
+  private void write(Store to, List<Lesson> lessons, Terms terms, double halfLifeUs, long nowUs) {
+    List<Fact> facts = lessons.stream().map(l -> fact(l, terms, nowUs))
         .filter(f -> terms.of(f.kind(), f.subject()) != null && f.kind().possible(f.value()) && f.weight() > 0).toList();
-    List<Fact> news = changes.of(facts, settings.halfLifeUs());
+    List<Fact> news = changes.of(facts, halfLifeUs);
     if (news.isEmpty()) {
       return;
     }
-    Entry entry = FactCodec.entry(terms.node(), news);
-    Store.Taken taken = to.append(List.of(entry), fault -> node.loop.accept(() -> saved(news, fault)));
+    Store.Taken taken = to.append(List.of(FactCodec.entry(terms.node(), news)),
+        fault -> node.loop.accept(() -> saved(news, fault)));
     if (taken == Store.Taken.FULL) {
-      counters.add("state.full");
+      node.loop.accept(() -> counters.add("state.full"));
     }
   }
 
@@ -122,8 +143,8 @@
 
   private void saved(List<Fact> facts, String fault) {
     counters.add(fault == null ? "state.saves" : "state.failures");
-    if (fault == null) {
-      changes.told(facts);
+    if (fault == null && !saver.isShutdown()) {
+      saver.execute(() -> changes.told(facts));
     }
     if (behind != (fault != null)) {
       behind = fault != null;
@@ -134,11 +155,21 @@
   /** The last save; then the folder is free for another process. */
   public void leave(long nowUs) {
     save(nowUs);
-    opener.end();
+    if (!saver.isShutdown()) {
+      saver.execute(opener::end);
+      saver.shutdown();
+    }
   }
 
   /** Waits so long at the most (ms) until the folder is free; for any thread. */
   public boolean close(long mostMs) {
-    return opener.close(mostMs);
+    saver.shutdown();
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mostMs);
+    try {
+      saver.awaitTermination(mostMs, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return opener.close(Math.max(1, TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())));
   }
 }
--- a/src/test/java/rosecleat/cli/MemoryTest.java
+++ b/src/test/java/rosecleat/cli/MemoryTest.java
@@ -177,6 +177,22 @@
     assertEquals(0, count(node, "state.opened"));
   }
 
+  @Test void aNodeThatLeavesWritesDownWhatItLearntLast() throws Exception {
+    BrokerConfig broker = Rig.broker(folder, backend.port(), config(), "\nstate: {folder: kept, every_ms: 3600000}\n");
+    Counters counters = new Counters();
+    node = new Node(config(), broker, new EventLoop(log), new Handover(null, counters, log), counters,
+        Learning.of(broker, log), log);
+    node.start();
+    await(() -> count(node, "state.opened") == 1 && ask(node, Core::ready));
+    serve(node, 12);
+    assertFalse(knows("run-time"), "it is not time yet");
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    node.leave(() -> left.complete(null));
+    left.get(10, TimeUnit.SECONDS);
+    node.settle(2_000);
+    assertTrue(knows("run-time"));
+  }
+
   @Test void theOlderProcessHandsTheFolderOver() throws Exception {
     Path shared = Files.createDirectory(folder.resolve("shared"));
     Node older = start(config(), shared);
--- a/src/test/java/rosecleat/measure/StoreSpeed.java
+++ b/src/test/java/rosecleat/measure/StoreSpeed.java
@@ -7,12 +7,24 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
+import rosecleat.config.NodeConfig;
+import rosecleat.core.Counters;
+import rosecleat.knowledge.Terms;
+import rosecleat.log.Log;
+import rosecleat.policy.Decisions;
+import rosecleat.standin.TestSite;
+import rosecleat.state.Memory;
+import rosecleat.state.Opener;
 import rosecleat.store.Entry;
 import rosecleat.store.Fold;
 import rosecleat.store.Folder;
@@ -63,6 +75,8 @@
       store(work.resolve("speed"), inFlight, base, false);
       store(work.resolve("speed"), inFlight, base, true);
     }
+    save(work.resolve("save"), 100);
+    save(work.resolve("save"), 1_000);
     recover(work.resolve("recover"));
     System.exit(0);
   }
@@ -123,6 +137,51 @@
     }
   }
 
+  /** How long a node's loop is held up by a look at what it learnt, of which all has moved: the dearest there is. */
+  private static void save(Path folder, int tenants) throws Exception {
+    wipe(folder);
+    StringBuilder parties = new StringBuilder();
+    List<String> names = new ArrayList<>();
+    Map<String, String> digests = new HashMap<>();
+    for (int t = 0; t < tenants; t++) {
+      names.add("team" + t);
+      digests.put("team" + t, "0123456789abcdef");
+      parties.append(t == 0 ? "" : ",").append("{\"name\":\"team").append(t).append("\",\"quota-per-s\":5}");
+    }
+    NodeConfig config = NodeConfig.parse(TestSite.config(1, 0, 0, 2_000, 500).file().toString()
+        .replaceAll("\"parties\":\\[.*?]", "\"parties\":[" + parties + "]"), Map.of());
+    Decisions decisions = new Decisions(config.start().settings(), List.of(), 1);
+    long[] now = {System.currentTimeMillis() * 1000};
+    decisions.begin(now[0], false);
+    Terms terms = new Terms("n1", "s", Map.of("balance-check", "c"), digests, Map.of());
+    Log log = new Log(System.err);
+    Opener opener = new Opener(folder, 64 << 20, log);
+    Counters counters = new Counters();
+    ConcurrentLinkedQueue<Runnable> loop = new ConcurrentLinkedQueue<>();
+    Memory memory = new Memory(new Memory.Settings(1, 600_000_000), opener, new Memory.Node(() -> terms,
+        () -> new Decisions.Names(config.start().classes(), names), decisions, () -> now[0], loop::add), counters, log);
+    Histogram held = new Histogram(60_000_000_000L, 3);
+    for (int i = 1; i <= 3_000; i++) {
+      now[0] += 100_000_000; // so long that all is written again
+      decisions.report(now[0], new Decisions.Report.Arrived(i, 0, i % tenants, 0, 1_000_000, 8, 0.5, false, false, 1, 0, 0));
+      while (decisions.pick() != null) {
+        continue;
+      }
+      long from = System.nanoTime();
+      memory.look(now[0]);
+      for (Runnable task = loop.poll(); task != null; task = loop.poll()) {
+        task.run();
+      }
+      if (i > 500) {
+        held.recordValue(System.nanoTime() - from);
+      }
+      Thread.sleep(1);
+    }
+    memory.close(5_000);
+    System.out.printf(Locale.ROOT, "%na look that writes %d tenants holds the loop up %.0f us at p50, %.0f at p99.9 (%d saves)%n",
+        tenants, held.getValueAtPercentile(50) / 1e3, held.getValueAtPercentile(99.9) / 1e3, counters.get("state.saves"));
+  }
+
   private static Store.Opened open(Path folder) throws IOException {
     Store.Opening opening = Store.open(Folder.made(folder), new Counting(), LIMITS, System.err::println);
     if (opening instanceof Store.Opened opened) {
