Check the broker's file by a JSON Schema, with the line and the nearest known key

Need: conections: (misspelt) was taken in silence, and figures out of range as far as nobody had thought of them. The schema is in the jar (rosecleat schema prints it); all findings come at once in one line. The checks of state: by hand are gone.

--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import rosecleat.config.BrokerConfig;
+import rosecleat.config.BrokerSchema;
 import rosecleat.config.ConfigException;
 import rosecleat.config.NodeConfig;
 
@@ -58,6 +59,9 @@
   @Parameters(commandDescription = "serve made-up requests on loopback, for the build's archive of classes")
   private static final class Rehearse { }
 
+  @Parameters(commandDescription = "print the JSON Schema of the broker's file")
+  private static final class Schema { }
+
   @Parameters(commandDescription = "show, verify or compact what a node keeps in a folder")
   private static final class State { }
 
@@ -85,7 +89,8 @@
     Check check = new Check();
     JCommander commands = JCommander.newBuilder().programName("rosecleat").addCommand("serve", serve)
         .addCommand("benchlink", new Benchlink()).addCommand("check", check)
-        .addCommand("rehearse", new Rehearse()).addCommand("state", new State()).addCommand("version", new Version())
+        .addCommand("rehearse", new Rehearse()).addCommand("schema", new Schema())
+        .addCommand("state", new State()).addCommand("version", new Version())
         .addCommand("help", new Help()).build();
     try {
       if (args.length > 0 && args[0].equals("state")) { // its own commands are loaded only here
@@ -94,7 +99,7 @@
       commands.parse(args);
       String word = commands.getParsedCommand();
       if (word == null) {
-        throw new ParameterException("a command is needed: serve, benchlink, check, rehearse, state, version or help");
+        throw new ParameterException("a command is needed: serve, benchlink, check, rehearse, schema, state, version or help");
       }
       switch (word) {
         case "serve" -> {
@@ -112,6 +117,7 @@
         case "rehearse" -> {
           return Rehearsal.run(NodeConfig.fromEnvironment(env)) ? 0 : 1;
         }
+        case "schema" -> print(out, BrokerSchema.text().strip());
         case "state" -> {
           StateCommands.Result result =
               new StateCommands(System.currentTimeMillis() * 1000).run(commands.getCommands().get("state"));
--- a/src/main/java/rosecleat/config/BrokerConfig.java
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -57,20 +57,25 @@
     return new BrokerConfig(listen, connections, limits, vars, all, start, state);
   }
 
-  private static final List<String> STATE_KEYS = List.of("folder", "every_ms", "max_mb", "half_life_s");
   private static final String RUNTIME = "runtime";
   private static final String UWSGI = "uwsgi://";
 
   /** Reads a broker's file over a node's settings. */
   public static BrokerConfig read(Path file, SettingsReader.Start start) {
     JsonNode root;
+    List<String> findings;
     try {
-      root = new ObjectMapper(new YAMLFactory()).readTree(Files.readString(file));
-    } catch (IOException | RuntimeException e) {
+      String text = Files.readString(file);
+      root = new ObjectMapper(new YAMLFactory()).readTree(text);
+      if (root == null || !root.isObject()) {
+        throw new ConfigException("the broker's file " + file + " has no sections");
+      }
+      findings = BrokerSchema.findings(root, text);
+    } catch (IOException e) {
       throw new ConfigException("cannot read the broker's file " + file);
     }
-    if (root == null || !root.isObject()) {
-      throw new ConfigException("the broker's file " + file + " has no sections");
+    if (!findings.isEmpty()) {
+      throw new ConfigException("the broker's file " + file + ": " + String.join("; ", findings));
     }
     return new Reading(file.toAbsolutePath().getParent(), root, start).broker();
   }
@@ -123,38 +128,13 @@
               start.gauges(), List.copyOf(classNames), List.copyOf(tenantNames)), state());
     }
 
-    /** The section {@code state}: strictly its own keys, each in its range. */
     private State state() {
       JsonNode section = root.path("state");
       if (section.isMissingNode()) {
         return null;
       }
-      if (!section.isObject()) {
-        throw new ConfigException("state in the broker's file is no section; it needs at least folder: PATH");
-      }
-      section.fieldNames().forEachRemaining(key -> {
-        if (!STATE_KEYS.contains(key)) {
-          throw new ConfigException("state in the broker's file has no key " + key + ", but " + STATE_KEYS);
-        }
-      });
-      JsonNode at = section.path("folder");
-      if (!at.isTextual() || at.asText().isBlank()) {
-        throw new ConfigException("state in the broker's file lacks folder: a path, which may be relative to the file");
-      }
-      return new State(folder.resolve(at.asText()).normalize(), 1000L * within(section, "every_ms", 1_000, 100, 3_600_000),
-          (long) within(section, "max_mb", 16, 1, 100_000) << 20,
-          1_000_000L * within(section, "half_life_s", 600, 1, 31_536_000));
-    }
-
-    private static int within(JsonNode section, String key, int otherwise, int least, int most) {
-      JsonNode value = section.path(key);
-      if (value.isMissingNode()) {
-        return otherwise;
-      }
-      if (!value.isIntegralNumber() || value.asLong() < least || value.asLong() > most) {
-        throw new ConfigException("state." + key + " in the broker's file is not a whole number from " + least + " to " + most);
-      }
-      return value.asInt();
+      return new State(folder.resolve(section.path("folder").asText()).normalize(), 1000L * whole(section, "every_ms", 1_000),
+          (long) whole(section, "max_mb", 16) << 20, 1_000_000L * whole(section, "half_life_s", 600));
     }
 
     private void describe() {
--- a/src/test/java/rosecleat/cli/MemoryTest.java
+++ b/src/test/java/rosecleat/cli/MemoryTest.java
@@ -246,6 +246,6 @@
     List<String> classes = Files.readAllLines(loaded);
     assertTrue(classes.stream().anyMatch(l -> l.contains("rosecleat.cli.Node ")));
     assertFalse(classes.stream().anyMatch(
-        l -> l.matches(".*(rosecleat\\.(store|state|knowledge)\\.|rosecleat\\.cli\\.(Learning|StateCommands)|com\\.google\\.protobuf).*")));
+        l -> l.matches(".*(rosecleat\\.(store|state|knowledge)\\.|rosecleat\\.cli\\.(Learning|StateCommands)|com\\.(google\\.protobuf|networknt)).*")));
   }
 }
