--- a/src/test/java/rosecleat/cli/StateCommandsTest.java
+++ b/src/test/java/rosecleat/cli/StateCommandsTest.java
@@ -96,6 +96,7 @@
     try (Store store = assertInstanceOf(Store.Opened.class, open).store()) {
       assertEquals(2, run("state", "compact", folder.toString()));
       assertTrue(err.toString().contains("a running node writes"), err.toString());
+      assertEquals(0, store.figures().failures());
     }
   }
 
