--- /dev/null
+++ b/src/main/java/rosecleat/node/HandOver.java
@@ -0,0 +1,41 @@
+package rosecleat.node;
+
+import java.util.function.LongSupplier;
+import rosecleat.core.Core;
+import rosecleat.handover.Handover;
+
+/**
+ * Another process of this node takes over: what is here is served as ever, and what comes later comes to the other. The
+ * socket is closed first, as soon as the other listens and in an instant when nothing waits at it; connections are asked
+ * to close after that, so that whatever they reconnect to is the other.
+ */
+final class HandOver extends Leaving {
+  /** A caller of the second front that has sent nothing for so long is not waited for (us). */
+  private static final long CALM_US = 500_000;
+
+  private final Handover handover;
+  private boolean shut;
+
+  HandOver(Core core, Fronts fronts, Handover handover, LongSupplier clock, long endUs) {
+    super(core, fronts, clock, endUs);
+    this.handover = handover;
+  }
+
+  @Override boolean sendsAway() {
+    return shut;
+  }
+
+  /** Whether nobody takes over any more, while this process could still do without. */
+  boolean forsaken() {
+    return !shut && !handover.successorLives();
+  }
+
+  /** Keyed runs nobody waits for here are waited for too: a repeat at the other process may ask for their results. */
+  @Override boolean step(boolean hurry) {
+    shut = shut || (handover.successorServes() || hurry) && fronts.handOver();
+    if (shut) {
+      fronts.closeIdle(CALM_US);
+    }
+    return shut && core.inHand() == 0 && fronts.open() == 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/node/Learning.java
@@ -0,0 +1,102 @@
+package rosecleat.node;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import rosecleat.config.BrokerConfig;
+import rosecleat.core.Counters;
+import rosecleat.knowledge.Fact;
+import rosecleat.knowledge.Kind;
+import rosecleat.knowledge.Terms;
+import rosecleat.log.Log;
+import rosecleat.net.EventLoop;
+import rosecleat.policy.Decisions;
+import rosecleat.policy.PolicyApi;
+import rosecleat.state.Memory;
+import rosecleat.state.Opener;
+
+/**
+ * What a node learnt, as it is kept between its processes: puts the node's settings in the terms of {@link Memory}. Loaded
+ * only where the broker's file has a section {@code state}.
+ */
+final class Learning {
+  /** A call that takes more of the shortest wanted time than this would keep all calls from being made. */
+  private static final double CALL_PART = 0.25;
+
+  private final BrokerConfig.State state;
+  private final Opener opener;
+  private final Log log;
+  private Numbering numbering;
+  private Memory memory;
+  private Terms terms; // of the settings in force, worked out once
+
+  /** Begins to open the folder; the node may stand later. */
+  Learning(BrokerConfig.State state, Log log) {
+    this.state = state;
+    this.log = log;
+    opener = new Opener(state.folder(), state.maxBytes(), log);
+  }
+
+  /** Where a broker keeps what it learnt; null where it keeps nothing. */
+  static Learning of(BrokerConfig broker, Log log) {
+    return broker == null || broker.state() == null ? null : new Learning(broker.state(), log);
+  }
+
+  /** The node stands: its module is given what was found, and what it learns is kept. */
+  void serve(Numbering of, Decisions decisions, EventLoop loop, LongSupplier clock, Counters counters) {
+    numbering = of;
+    memory = new Memory(settings(state), opener,
+        new Memory.Node(this::terms, numbering::learntNames, decisions, clock, loop::execute), counters, log);
+  }
+
+  private static Memory.Settings settings(BrokerConfig.State s) {
+    return new Memory.Settings(s.everyUs(), s.halfLifeUs());
+  }
+
+  Memory memory() {
+    return memory;
+  }
+
+  /** Other settings, of the same folder; its size is taken at the next start. */
+  void use(BrokerConfig.State fresh) {
+    terms = null;
+    memory.use(settings(fresh));
+  }
+
+  /** The settings in force, as far as what was learnt depends on them. */
+  private Terms terms() {
+    terms = terms == null ? reckoned() : terms;
+    return terms;
+  }
+
+  private Terms reckoned() {
+    PolicyApi.Settings s = numbering.settings();
+    Map<String, String> classes = new HashMap<>();
+    Map<String, String> tenants = new HashMap<>();
+    Map<Fact.Name, Double> ceilings = new HashMap<>();
+    double callUs = Double.MAX_VALUE;
+    for (Map.Entry<String, PolicyApi.Klass> each : numbering.figures().entrySet()) {
+      PolicyApi.Klass k = each.getValue();
+      classes.put(each.getKey(), digest(k.toString()));
+      ceilings.put(new Fact.Name(Kind.RUN_TIME, each.getKey()), (double) k.aimUs());
+      callUs = k.calls() ? Math.min(callUs, CALL_PART * k.aimUs()) : callUs;
+    }
+    numbering.quotas().forEach((name, tenant) -> tenants.put(name, digest(tenant.toString())));
+    ceilings.put(new Fact.Name(Kind.CALL_TIME, ""), callUs);
+    String server = digest(s.cores() + " " + s.fallMultiple() + " " + s.callsOut() + " " + s.callsSpanUs());
+    return new Terms(numbering.node(), server, classes, tenants, ceilings);
+  }
+
+  private static String digest(String figures) {
+    try {
+      byte[] sum = MessageDigest.getInstance("SHA-256").digest(figures.getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(sum, 0, 8);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e); // each Java platform has it
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/node/Node.java
@@ -0,0 +1,336 @@
+package rosecleat.node;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.NodeConfig;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.core.Runner;
+import rosecleat.front.resp.RespFront;
+import rosecleat.front.uwsgi.Instances;
+import rosecleat.front.uwsgi.UwsgiFront;
+import rosecleat.front.uwsgi.UwsgiRunner;
+import rosecleat.handover.Handover;
+import rosecleat.index.IndexClient;
+import rosecleat.log.Log;
+import rosecleat.mgmt.Door;
+import rosecleat.net.Clock;
+import rosecleat.net.EventLoop;
+import rosecleat.policy.Decisions;
+import rosecleat.policy.PolicyApi;
+import rosecleat.roster.RosterClient;
+import rosecleat.runtime.NoRuntime;
+import rosecleat.runtime.RuntimeLink;
+
+/** The parts of one node put together: the core, its fronts and its links, all on one loop. */
+final class Node implements AutoCloseable {
+  /** A beat so much late is worth a line in the log (us). */
+  private static final long LATE_US = 200_000;
+  /** The next beat after one that failed (us). */
+  private static final long BEAT_US = 20_000;
+  /** So often the node looks what its other processes do (us). */
+  private static final long LOOK_US = 100_000;
+  /** A process that hands over is killed so long after the longest deadline, which counts as so much at the most (us). */
+  private static final long KILLED_US = 700_000;
+  private static final long LONGEST_US = 3_000_000;
+  /** A disk is awaited so long at the end (ms). */
+  static final long SETTLE_MS = 50;
+
+  private volatile NodeConfig config;
+  private final Log log;
+  private final EventLoop loop;
+  private final LongSupplier clock = new Clock();
+  private final Counters counters;
+  private final Numbering numbering;
+  private final Decisions decisions;
+  private final Core core;
+  private final Runner runner;
+  private final RuntimeLink runtime;
+  private final RosterClient roster;
+  private final IndexClient index;
+  private final RespFront resp;
+  private final UwsgiFront uwsgi;
+  private final Fronts fronts;
+  private final Handover handover;
+  private final Shares shares;
+  private final Learning learning;
+  private boolean listening;
+  private boolean shared;
+  private Leaving leaving;
+  private long nextLookUs;
+  private long beatUs = Long.MAX_VALUE;
+  private Runnable whenLeft = () -> { };
+
+  /** A node on a loop of its own; {@code broker} is null where there is no second front. */
+  Node(NodeConfig config, BrokerConfig broker, Log log) throws IOException {
+    this(config, broker, new EventLoop(log), null, new Counters(), null, log);
+  }
+
+  /**
+   * A node on a loop that something else may use too; {@code others} is null where it is its only process, and
+   * {@code learning} where it keeps nothing.
+   */
+  Node(NodeConfig config, BrokerConfig broker, EventLoop loop, Handover others, Counters counters, Learning learning,
+      Log log) throws IOException {
+    this.config = config;
+    this.learning = learning;
+    this.log = log;
+    this.loop = loop;
+    this.counters = counters;
+    try {
+      handover = others == null ? new Handover(null, counters, log) : others;
+      numbering = new Numbering(new Setup(config, broker));
+      index = new IndexClient(loop, config.index(), clock, counters, log);
+      decisions = new Decisions(numbering.settings(), numbering.gauges(), config.seed());
+      core = new Core(numbering.rules(), decisions, index, handover.claims(), clock, counters, log);
+      shares = new Shares(handover, numbering, decisions, clock);
+      if (learning != null) {
+        learning.serve(numbering, decisions, loop, clock, counters);
+      }
+      index.tell(core);
+      runtime = config.runtime() == null ? null : new RuntimeLink(loop, config.runtime(), core, clock, log);
+      runner = runtime == null ? new NoRuntime(loop, core) : runtime;
+      roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
+      resp = new RespFront(loop, config.listen(), 1, core, numbering.names(runner), clock, log);
+      uwsgi = broker == null ? null : new UwsgiFront(loop, numbering.broker(), core, runner,
+          new UwsgiRunner(loop, core, clock, broker.limits().replyBytes(), Instances.EMPTY), Instances.EMPTY, clock, log, ~config.seed());
+      fronts = new Fronts(resp, uwsgi);
+      makeRoom();
+      handover.keepLate(core.longestDueUs());
+      if (!handover.predecessorLives()) {
+        listen();
+        if (!listening) {
+          throw new IOException("can't listen at " + config.listen());
+        }
+      }
+    } catch (IOException | RuntimeException e) {
+      loop.close();
+      throw e;
+    }
+  }
+
+  /** Opens the links and begins to serve. */
+  void start() {
+    loop.execute(() -> {
+      if (runtime == null) {
+        core.begin(null, false, 0);
+      } else {
+        runtime.connect();
+      }
+      roster.begin();
+      beat();
+    });
+  }
+
+  /** Logs the counters from now on, so often. */
+  void logCounters(long everyUs) {
+    loop.after(everyUs, () -> {
+      log.info(counters.toString());
+      logCounters(everyUs);
+    });
+  }
+
+  /** Whether requests that come now are served; for use on the node's thread. */
+  boolean serving() {
+    return listening && core.ready() && leaving == null;
+  }
+
+  /** The port for balancers. */
+  int port() {
+    return resp.port();
+  }
+
+  /** The port of the second front. */
+  int uwsgiPort() {
+    return uwsgi.port();
+  }
+
+  /** Runs something on the node's one thread. */
+  void onLoop(Runnable task) {
+    loop.execute(task);
+  }
+
+  /** The core, for use on the node's thread. */
+  Core core() {
+    return core;
+  }
+
+  /** The second front, for use on the node's thread. */
+  UwsgiFront uwsgi() {
+    return uwsgi;
+  }
+
+  /**
+   * Told to leave: calls back on the loop when nothing is left to do, or when time is up. Where another process of this
+   * node lives it takes over, else this is the notice to drain. Returns how long the process has (us); for any thread.
+   */
+  long leave(Runnable done) {
+    boolean handsOver = handover.successorLives();
+    long leftUs = handsOver ? Math.min(core.longestDueUs(), LONGEST_US) + KILLED_US : config.stopUs();
+    loop.execute(() -> {
+      whenLeft = done;
+      log.info("told to leave" + (handsOver ? " by a newer process that takes over, " : ", ") + core.inHand()
+          + " in hand");
+      counters.add(handsOver ? "leaves.handover" : "leaves.drain");
+      if (learning != null && handsOver) {
+        learning.memory().leave(clock.getAsLong()); // the newer process takes the folder over
+      } else if (learning != null) {
+        learning.memory().save(clock.getAsLong());
+      }
+      long endUs = clock.getAsLong() + leftUs;
+      if (handsOver) {
+        leaving = new HandOver(core, fronts, handover, clock, endUs);
+      } else {
+        drain(endUs);
+      }
+    });
+    return leftUs;
+  }
+
+  private void drain(long endUs) {
+    roster.leave();
+    core.drain(endUs - clock.getAsLong() - Leaving.EARLY_US);
+    leaving = new Drain(core, fronts, clock, endUs);
+  }
+
+  /** New files, checked already: settings, contracts and the addresses of the links take effect together. */
+  void reload(Setup setup) {
+    loop.execute(() -> {
+      NodeConfig fresh = setup.node();
+      config = fresh;
+      counters.add("reloads");
+      log.info("reloaded: classes " + fresh.start().classes() + ", runtime " + fresh.runtime() + ", index "
+          + fresh.index() + ", roster " + fresh.roster());
+      List<Integer> renamed = numbering.take(setup, core::usesClass, core::usesTenant);
+      shares.retune(renamed, leaving != null);
+      core.use(numbering.rules());
+      handover.keepLate(core.longestDueUs());
+      makeRoom();
+      resp.use(numbering.names(runner));
+      if (uwsgi != null) {
+        uwsgi.use(numbering.broker());
+      }
+      if (learning != null) {
+        learning.use(setup.broker().state());
+      }
+      if (runtime != null) {
+        runtime.moveTo(fresh.runtime());
+      }
+      index.moveTo(fresh.index());
+      roster.moveTo(fresh.roster());
+    });
+  }
+
+  /** Beats for as long as the loop lives: whatever one beat throws ends that beat alone, else all timers would stand. */
+  private void beat() {
+    long next = clock.getAsLong() + BEAT_US;
+    try {
+      next = beatOnce();
+    } finally {
+      beatUs = next;
+      loop.after(next - clock.getAsLong(), this::beat);
+    }
+  }
+
+  /** The module's clock and all that is done by time. What makes it late makes every answer late, so that is told. */
+  private long beatOnce() {
+    long now = clock.getAsLong();
+    long lateUs = now - beatUs;
+    if (lateUs > LATE_US) {
+      counters.add("beats.late");
+      log.warn("the loop was " + lateUs / 1000 + " ms late, with " + core.inHand() + " in hand");
+    }
+    if (now >= nextLookUs) {
+      nextLookUs = now + LOOK_US;
+      look(now);
+    }
+    long next = core.tick();
+    resp.sweep(leaving != null && leaving.sendsAway());
+    if (leaving instanceof HandOver handOver && handOver.forsaken()) {
+      log.warn("the newer process is gone: this one drains");
+      drain(leaving.endUs());
+    }
+    if (leaving != null && leaving.over()) {
+      shares.look(true); // what it took counts on for those that stay
+      if (learning != null) {
+        learning.memory().leave(now);
+      }
+      log.info(counters.toString());
+      leaving = null; // said once; the process ends now
+      whenLeft.run();
+    }
+    return next;
+  }
+
+  /** What the other processes of this node say and do. */
+  private void look(long now) {
+    handover.look(now);
+    core.setAside(handover.drained());
+    if (!listening && (core.ready() || !handover.predecessorLives())) {
+      listen();
+    }
+    boolean two = handover.shared();
+    if (two != shared) {
+      shared = two;
+      counters.add(two ? "shares.two" : "shares.one");
+      log.info(two ? "two processes of this node live, and share its limits" : "this process is alone");
+      makeRoom();
+    }
+    shares.look(leaving != null);
+    if (learning != null) {
+      learning.memory().look(now);
+    }
+  }
+
+  /** What the module has learnt; for any thread. */
+  CompletableFuture<List<Decisions.Lesson>> lessons() {
+    CompletableFuture<List<Decisions.Lesson>> answer = new CompletableFuture<>();
+    loop.execute(() -> answer.complete(decisions.learnt(numbering.learntNames())));
+    return answer;
+  }
+
+  /** Waits until what was learnt is written down, so long at the most (ms); for any thread. */
+  void settle(long mostMs) {
+    if (learning != null && !learning.memory().close(mostMs)) {
+      log.warn("what was learnt last could not be written down in time");
+    }
+  }
+
+  /** The settings in force, with this process's part of the limits; for use on the node's thread. */
+  PolicyApi.Settings limits() {
+    return shares.limits();
+  }
+
+  /** Shares the descriptors out between balancers' connections and those to the index. */
+  private void makeRoom() {
+    int others = (config.mgmt() == null ? 0 : Door.SOCKETS) + (uwsgi == null ? 0 : 2 * numbering.broker().connections());
+    Places places = Places.of(config.sockets(), others, numbering.settings().callsOut(), shared);
+    index.lines(places.index());
+    resp.places(places.balancers());
+  }
+
+  /** Takes clients. A process that takes over does so only when it can serve them. */
+  private void listen() {
+    try {
+      fronts.listen();
+      listening = true;
+      handover.serve();
+      log.info(config.name() + " listens " + (config.listen() == null ? "" : "on " + config.listen() + " ")
+          + (uwsgi == null ? "" : "for uwsgi at port " + uwsgi.port()));
+    } catch (IOException e) {
+      log.warn("can't listen yet: " + e.getMessage());
+    }
+  }
+
+  /** Ends the node at once. */
+  @Override public void close() {
+    if (learning != null) {
+      learning.memory().close(SETTLE_MS);
+    }
+    loop.close();
+    handover.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/node/Numbering.java
@@ -0,0 +1,128 @@
+package rosecleat.node;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntPredicate;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.SettingsReader;
+import rosecleat.core.Core;
+import rosecleat.core.Numbers;
+import rosecleat.core.Runner;
+import rosecleat.front.resp.RespFront;
+import rosecleat.policy.Decisions;
+import rosecleat.policy.PolicyApi;
+
+/** The files of a node as its parts see them: each class and tenant by the number that it keeps over reloads. */
+final class Numbering {
+  /** Results of keyed requests kept for their repeats, all together (bytes): a part of the heap, in which all else must fit. */
+  private static final long RESULT_BYTES = Math.min(8 << 20, Runtime.getRuntime().maxMemory() / 5);
+
+  /** A class under its name; {@code own} where balancers may name it, else a contract made it. */
+  private record Term(String name, boolean own, PolicyApi.Klass grade) { }
+
+  private final Numbers<Term> classes = new Numbers<>();
+  private final Numbers<PolicyApi.Tenant> tenants = new Numbers<>();
+  private Setup setup;
+  private SettingsReader.Start start;
+  private List<String> classKeys;
+
+  /** Takes files for the first time. */
+  Numbering(Setup setup) {
+    take(setup, number -> false, number -> false);
+  }
+
+  /** Takes files that have changed; returns the numbers that stand for other classes than before. */
+  List<Integer> take(Setup fresh, IntPredicate usesClass, IntPredicate usesTenant) {
+    setup = fresh;
+    start = fresh.broker() == null ? fresh.node().start() : fresh.broker().start();
+    int own = fresh.node().start().classes().size(); // contracts add theirs behind; balancers can't name those
+    List<Term> terms = new ArrayList<>();
+    classKeys = new ArrayList<>();
+    for (int i = 0; i < start.classes().size(); i++) {
+      Term term = new Term(start.classes().get(i), i < own, start.settings().classes().get(i));
+      terms.add(term);
+      classKeys.add(i < own ? term.name : "a contract's " + term);
+    }
+    tenants.take(start.tenants(), start.settings().tenants(), usesTenant);
+    return classes.take(classKeys, terms, usesClass);
+  }
+
+  /** The settings for the module; a tenant that is dropped has no share any more. */
+  PolicyApi.Settings settings() {
+    List<PolicyApi.Tenant> shares = new ArrayList<>();
+    List<String> names = tenants.names();
+    for (int n = 0; n < names.size(); n++) {
+      shares.add(names.get(n) == null ? new PolicyApi.Tenant(0) : tenants.terms().get(n));
+    }
+    return start.settings().with(classes.terms().stream().map(Term::grade).toList(), List.copyOf(shares));
+  }
+
+  /** The names of the gauges, in the order they come. */
+  List<String> gauges() {
+    return start.gauges();
+  }
+
+  /** What the core works under. */
+  Core.Rules rules() {
+    PolicyApi.Settings s = start.settings();
+    return new Core.Rules(s.cores(), classes.terms().stream().map(Numbering::klass).toList(), tenants.names(),
+        s.slackUs(), s.graceUs(), s.idleUs(), RESULT_BYTES);
+  }
+
+  private static Core.Klass klass(Term term) {
+    return new Core.Klass(term.name, term.grade.effect() == PolicyApi.Effect.KEYED, term.grade.calls(),
+        term.grade.windowUs(), term.grade.dueUs());
+  }
+
+  /** The names that balancers' requests may use. */
+  RespFront.Names names(Runner runner) {
+    List<Core.Klass> named = new ArrayList<>();
+    List<String> current = classes.names();
+    for (int n = 0; n < current.size(); n++) {
+      Term term = classes.terms().get(n);
+      named.add(current.get(n) != null && term.own ? klass(term) : null);
+    }
+    return new RespFront.Names(Collections.unmodifiableList(named), tenants.names(), runner);
+  }
+
+  /** The names that what was learnt goes by; two contracts of one class with other terms differ in them. */
+  Decisions.Names learntNames() {
+    return new Decisions.Names(classes.names(), tenants.names());
+  }
+
+  /** The node's name. */
+  String node() {
+    return setup.node().name();
+  }
+
+  /** The figures of each class in force, by the name that what was learnt of it goes by. */
+  Map<String, PolicyApi.Klass> figures() {
+    Map<String, PolicyApi.Klass> figures = new HashMap<>();
+    for (int n = 0; n < classes.names().size(); n++) {
+      if (classes.names().get(n) != null) {
+        figures.put(classes.names().get(n), classes.terms().get(n).grade);
+      }
+    }
+    return figures;
+  }
+
+  /** The figures of each tenant in force, by name. */
+  Map<String, PolicyApi.Tenant> quotas() {
+    Map<String, PolicyApi.Tenant> quotas = new HashMap<>();
+    for (int n = 0; n < tenants.names().size(); n++) {
+      if (tenants.names().get(n) != null) {
+        quotas.put(tenants.names().get(n), tenants.terms().get(n));
+      }
+    }
+    return quotas;
+  }
+
+  /** The second front's contracts and budgets; null where there is none. */
+  BrokerConfig broker() {
+    return setup.broker() == null ? null : setup.broker().renumbered(classKeys.stream().map(classes::of).toList(),
+        start.tenants().stream().map(tenants::of).toList());
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/node/Operators.java
@@ -0,0 +1,38 @@
+package rosecleat.node;
+
+import rosecleat.handover.Handover;
+import rosecleat.mgmt.Operations;
+
+/** What operators asked of a node, kept from before it stands. For the loop. */
+final class Operators implements Operations {
+  private final Handover handover;
+  private Node node;
+
+  Operators(Handover handover) {
+    this.handover = handover;
+  }
+
+  /** The node stands; it follows what was asked before, and in its other processes. */
+  void serve(Node fresh) {
+    node = fresh;
+  }
+
+  @Override public boolean ready() {
+    return node != null && node.serving();
+  }
+
+  @Override public void drain() {
+    set(true);
+  }
+
+  @Override public void activate() {
+    set(false);
+  }
+
+  private void set(boolean aside) {
+    handover.drain(aside);
+    if (node != null) {
+      node.core().setAside(aside);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/node/Shares.java
@@ -0,0 +1,56 @@
+package rosecleat.node;
+
+import java.util.List;
+import java.util.function.LongSupplier;
+import rosecleat.handover.Handover;
+import rosecleat.handover.Load;
+import rosecleat.policy.Decisions;
+import rosecleat.policy.PolicyApi;
+
+/** This process's part of the node's limits, which its module works under. For the loop. */
+final class Shares {
+  private final Handover handover;
+  private final Numbering numbering;
+  private final Decisions decisions;
+  private final LongSupplier clock;
+  private Load grant = Load.NONE;
+
+  Shares(Handover handover, Numbering numbering, Decisions decisions, LongSupplier clock) {
+    this.handover = handover;
+    this.numbering = numbering;
+    this.decisions = decisions;
+    this.clock = clock;
+  }
+
+  /** Finds what this process may take beside its others, and tells them; the module hears of it where it has changed. */
+  void look(boolean leaving) {
+    Load before = grant;
+    find(leaving);
+    if (!grant.equals(before)) {
+      tell(List.of());
+    }
+  }
+
+  /** The settings have changed: the module is told them, with the numbers that stand for other classes now. */
+  void retune(List<Integer> renamed, boolean leaving) {
+    find(leaving);
+    tell(renamed);
+  }
+
+  private void find(boolean leaving) {
+    PolicyApi.Settings s = numbering.settings();
+    Decisions.Taken taken = decisions.taken(clock.getAsLong());
+    grant = handover.grant(new Load(s.callsOut(), s.memoryKb(), s.cores() * s.fallMultiple()),
+        new Load(taken.calls().get(0), taken.memoryKb(), taken.running()), taken.calls(), leaving);
+  }
+
+  private void tell(List<Integer> renamed) {
+    decisions.retune(clock.getAsLong(), limits(), numbering.gauges(), renamed);
+  }
+
+  /** The settings in force, with this process's part of the limits. */
+  PolicyApi.Settings limits() {
+    PolicyApi.Settings s = numbering.settings();
+    return s.within(grant.memoryKb(), Math.max(1, grant.running() / s.cores()), grant.calls());
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/node/Warmup.java
@@ -0,0 +1,96 @@
+package rosecleat.node;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayDeque;
+import rosecleat.config.NodeConfig;
+import rosecleat.core.Ask;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.core.Ledger;
+import rosecleat.core.Runner;
+import rosecleat.front.resp.RespWarmup;
+import rosecleat.log.Log;
+import rosecleat.policy.Decisions;
+import rosecleat.runtime.RuntimeWarmup;
+
+/**
+ * Lives of made-up requests, played in memory before a node listens. Guards its first callers: code that runs for the
+ * first time is interpreted, and a node that is still compiling answers late and is out of credit for a second or two.
+ * Everything it touches is thrown away.
+ */
+final class Warmup {
+  private static final int REQUESTS = 2_000;
+  private static final long LONGEST_NS = 800_000_000;
+  private static final long STEP_US = 5_000;
+  private static final byte[] REPLY = new byte[200];
+
+  private final ArrayDeque<Ask> started = new ArrayDeque<>();
+  private final ArrayDeque<String> calls = new ArrayDeque<>();
+  private final RuntimeWarmup notices = new RuntimeWarmup();
+  private long nowUs = 1_000_000_000_000_000L;
+  private Core core;
+
+  private final Runner runner = new Runner() {
+    @Override public void start(Ask ask, long dueUs) {
+      started.add(ask);
+    }
+
+    @Override public void stop(String id) { }
+
+    @Override public void give(String id, byte[] reply) { }
+
+    @Override public void omit(String id, long notice) { }
+
+    @Override public void askGauges() {
+      core.gauges(new double[] {0.5, 3, 0.1, 4});
+    }
+  };
+
+  private final Ledger ledger = new Ledger() {
+    @Override public void call(String id, long untilUs, byte[] body) {
+      calls.add(id);
+    }
+
+    @Override public void giveUp(String id) { }
+  };
+
+  private Warmup() { }
+
+  /** Plays; returns how many requests were served. */
+  static long play(NodeConfig config) {
+    return new Warmup().lives(config);
+  }
+
+  private long lives(NodeConfig config) {
+    long endNs = System.nanoTime() + LONGEST_NS;
+    Counters counters = new Counters();
+    Numbering numbering = new Numbering(new Setup(config, null));
+    try (Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()))) {
+      core = new Core(numbering.rules(), new Decisions(numbering.settings(), numbering.gauges(), config.seed()), ledger,
+          () -> nowUs, counters, quiet);
+      core.begin(runner, false, 0);
+      RespWarmup front = new RespWarmup(numbering.names(runner));
+      for (int n = 1; n <= REQUESTS && System.nanoTime() < endNs; n++) {
+        front.request(core, n, nowUs);
+        nowUs += STEP_US;
+        core.tick();
+        finish();
+      }
+    }
+    return counters.get("answers.served");
+  }
+
+  private void finish() {
+    while (!started.isEmpty()) {
+      Ask ask = started.remove();
+      if (core.calls(ask.klass())) {
+        core.wants(ask.id(), 1, notices.notice("wants", ask.id(), ask.body()));
+      }
+      while (!calls.isEmpty()) {
+        core.called(calls.remove(), Ledger.End.HIT, REPLY);
+      }
+      core.ended(ask.id(), Runner.End.OK, notices.notice("end", ask.id(), REPLY), 20_000);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/node/MemoryTest.java
@@ -0,0 +1,252 @@
+package rosecleat.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rosecleat.cli.Main;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.ConfigException;
+import rosecleat.config.NodeConfig;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.handover.Handover;
+import rosecleat.log.Log;
+import rosecleat.net.EventLoop;
+import rosecleat.standin.RespClient;
+import rosecleat.standin.StandInRuntime;
+import rosecleat.standin.TestSite;
+import rosecleat.standin.UwsgiBackend;
+
+/** A node that keeps what it learnt: started again, with other settings, beside another process, on a bad folder. */
+class MemoryTest {
+  private static final String STATE = "\nstate: {folder: kept, every_ms: 100}\n";
+  private final StandInRuntime runtime = new StandInRuntime(30);
+  private final UwsgiBackend backend = new UwsgiBackend();
+  private final Log log = new Log(System.err);
+  private Node node;
+
+  @TempDir Path folder;
+
+  @AfterEach void stop() {
+    if (node != null) {
+      node.close();
+    }
+    runtime.close();
+    backend.close();
+    log.close();
+  }
+
+  private NodeConfig config() {
+    return TestSite.config(runtime.port(), 0, 0, 2_000, 500);
+  }
+
+  private Setup setup(String more) throws IOException {
+    return new Setup(config(), Rig.broker(folder, backend.port(), config(), more));
+  }
+
+  private Node start(NodeConfig config, Path shared) throws IOException {
+    Counters counters = new Counters();
+    BrokerConfig broker = Rig.broker(folder, backend.port(), config, STATE);
+    Node fresh = new Node(config, broker, new EventLoop(log), new Handover(shared, counters, log), counters,
+        Learning.of(broker, log), log);
+    fresh.start();
+    return fresh;
+  }
+
+  private <T> T ask(Node of, Function<Core, T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    of.onLoop(() -> answer.complete(question.apply(of.core())));
+    return answer.orTimeout(10, TimeUnit.SECONDS).join();
+  }
+
+  private long count(Node of, String name) {
+    return ask(of, core -> core.counters().get(name));
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + 10_000_000_000L;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "it did not come to hold");
+      Thread.sleep(10);
+    }
+  }
+
+  private void serve(Node by, int count) throws Exception {
+    try (RespClient client = new RespClient(by.port(), null)) {
+      for (int i = 1; i <= count; i++) {
+        client.send(RespClient.array("DO", "" + i, "balance-check", RespClient.fields(
+            String.format("%016x", System.nanoTime()), "small", 1_000, null), "body"));
+        assertTrue(client.answer() != null);
+      }
+    }
+  }
+
+  private JsonNode facts() throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    assertEquals(0, Main.run(new String[] {"state", "show", "--json", folder.resolve("kept").toString()}, Map.of(),
+        new ByteArrayInputStream(new byte[0]), out));
+    return new ObjectMapper().readTree(out.toString()).path("facts");
+  }
+
+  private boolean knows(String kind) {
+    try {
+      for (JsonNode fact : facts()) {
+        if (fact.path("kind").asText().equals(kind)) {
+          return true;
+        }
+      }
+      return false;
+    } catch (IOException e) {
+      return false; // it is being written this moment
+    }
+  }
+
+  /** A node that has learnt something and is gone. */
+  private void before() throws Exception {
+    node = start(config(), null);
+    await(() -> ask(node, Core::ready) && count(node, "state.opened") == 1);
+    serve(node, 12);
+    await(() -> knows("run-time") && count(node, "state.saves") > 0);
+    node.close();
+    node = null;
+  }
+
+  @Test void theNextProcessBeginsWithWhatTheLastOneKnew() throws Exception {
+    before();
+    node = start(config(), null);
+    await(() -> count(node, "state.taken") >= 3);
+    List<rosecleat.policy.Decisions.Lesson> lessons = node.lessons().get(5, TimeUnit.SECONDS);
+    double us = lessons.stream().filter(l -> l.of().equals("balance-check")).findFirst().orElseThrow().value();
+    assertTrue(us > 20_000 && us < 100_000, "a run of 30 ms is known before any was seen: " + us);
+  }
+
+  @Test void otherSettingsDropWhatWasLearntUnderTheOld() throws Exception {
+    before();
+    String other = config().file().toString().replace("\"deadline-us\":1200000", "\"deadline-us\":1300000");
+    node = start(NodeConfig.parse(other, Map.of()), null);
+    await(() -> count(node, "state.dropped.other_terms") > 0);
+    node.close();
+    node = start(NodeConfig.parse(config().file().toString().replace("\"t1\"", "\"t2\""), Map.of()), null);
+    await(() -> count(node, "state.dropped.other_node") > 0);
+    assertEquals(0, count(node, "state.taken"));
+  }
+
+  @Test void aDamagedOrNewerFileIsNoWorseThanNone() throws Exception {
+    before();
+    Path kept = folder.resolve("kept");
+    try (Stream<Path> files = Files.list(kept)) {
+      for (Path file : files.filter(f -> !f.endsWith("LOCK")).toList()) {
+        byte[] bytes = Files.readAllBytes(file);
+        for (int i = 0; i < bytes.length; i += 7) {
+          bytes[i] ^= 0x55;
+        }
+        Files.write(file, bytes);
+      }
+    }
+    assertEquals(3, Main.run(new String[] {"state", "verify", kept.toString()}, Map.of(), null, new ByteArrayOutputStream()));
+    node = start(config(), null);
+    await(() -> count(node, "state.opened") == 1);
+    serve(node, 5);
+    await(() -> knows("run-time"));
+    assertEquals(0, Main.run(new String[] {"state", "verify", kept.toString()}, Map.of(), null, new ByteArrayOutputStream()));
+  }
+
+  @Test void aFolderThatCantBeUsedKeepsTheNodeServing() throws Exception {
+    Files.createFile(folder.resolve("kept")); // a file where the folder should be; root may write anywhere else
+    node = start(config(), null);
+    await(() -> ask(node, Core::ready));
+    serve(node, 3);
+    assertEquals(0, count(node, "state.opened"));
+  }
+
+  @Test void aNodeThatLeavesWritesDownWhatItLearntLast() throws Exception {
+    BrokerConfig broker = Rig.broker(folder, backend.port(), config(), "\nstate: {folder: kept, every_ms: 3600000}\n");
+    Counters counters = new Counters();
+    node = new Node(config(), broker, new EventLoop(log), new Handover(null, counters, log), counters,
+        Learning.of(broker, log), log);
+    node.start();
+    await(() -> count(node, "state.opened") == 1 && ask(node, Core::ready));
+    serve(node, 12);
+    assertFalse(knows("run-time"), "it is not time yet");
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    node.leave(() -> left.complete(null));
+    left.get(10, TimeUnit.SECONDS);
+    node.settle(2_000);
+    assertTrue(knows("run-time"));
+  }
+
+  @Test void theOlderProcessHandsTheFolderOver() throws Exception {
+    Path shared = Files.createDirectory(folder.resolve("shared"));
+    Node older = start(config(), shared);
+    node = older;
+    await(() -> ask(older, Core::ready) && count(older, "state.opened") == 1);
+    serve(older, 12);
+    await(() -> knows("run-time"));
+    StandInRuntime second = new StandInRuntime(30);
+    try {
+      String same = TestSite.config(second.port(), 0, 0, 2_000, 500).file().toString()
+          .replace("127.0.0.1:0", "127.0.0.1:" + older.port());
+      Node newer = start(NodeConfig.parse(same, Map.of()), shared);
+      node = newer;
+      await(() -> count(newer, "state.taken") >= 3);
+      assertEquals(0, count(newer, "state.opened"), "the older one writes");
+      CompletableFuture<Void> left = new CompletableFuture<>();
+      older.leave(() -> left.complete(null));
+      await(() -> count(newer, "state.opened") == 1);
+      left.get(10, TimeUnit.SECONDS);
+      serve(newer, 12);
+      await(() -> count(newer, "state.saves") > 0);
+      assertEquals(0, count(newer, "state.findings"));
+    } finally {
+      older.close();
+      node.close();
+      node = null;
+      second.close();
+    }
+  }
+
+  @Test void aReloadMayChangeAllButTheFolder() throws Exception {
+    Setup first = setup(STATE);
+    setup("\nstate: {folder: kept, every_ms: 500, max_mb: 4, half_life_s: 60}\n").checkAfter(first);
+    assertThrows(ConfigException.class, () -> setup("\nstate: {folder: elsewhere}\n").checkAfter(first));
+    assertThrows(ConfigException.class, () -> setup("").checkAfter(first));
+    for (String bad : List.of("{folder: kept, every: 5}", "{every_ms: 5}", "{folder: kept, max_mb: 0}",
+        "{folder: kept, every_ms: often}", "kept", "{folder: 5}")) {
+      String message = assertThrows(ConfigException.class, () -> setup("\nstate: " + bad + "\n")).getMessage();
+      assertTrue(message.contains("state"), message);
+    }
+    assertEquals(folder.resolve("kept"), first.broker().state().folder());
+  }
+
+  @Test void whereItIsOffNothingOfItIsLoaded() throws Exception {
+    Path loaded = folder.resolve("loaded");
+    ProcessBuilder command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-Xlog:class+load:file=" + loaded, "-cp", System.getProperty("java.class.path"), "rosecleat.cli.Main", "rehearse")
+        .redirectError(ProcessBuilder.Redirect.INHERIT).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+    command.environment().put("PROXY_CONFIG", "deploy/example.json");
+    assertEquals(0, command.start().waitFor());
+    List<String> classes = Files.readAllLines(loaded);
+    assertTrue(classes.stream().anyMatch(l -> l.contains("rosecleat.cli.Node ")));
+    assertFalse(classes.stream().anyMatch(
+        l -> l.matches(".*(rosecleat\\.(store|state|knowledge)\\.|rosecleat\\.cli\\.(Learning|StateCommands)|com\\.(google\\.protobuf|networknt)).*")));
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/node/MixedLoadTest.java
@@ -0,0 +1,225 @@
+package rosecleat.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rosecleat.standin.RespClient;
+import rosecleat.standin.StandInRuntime;
+import rosecleat.standin.TestSite;
+import rosecleat.standin.UwsgiClient;
+
+/** Both protocols at once at 150% of what the cores can do, with every rule counted after each request. */
+class MixedLoadTest {
+  private static final int WORK_MS = 20;
+  private static final int WAIT_MS = 900;
+  /** The rule's slack of 130 ms, and room for a busy machine that runs this test (ms). */
+  private static final long SLACK_MS = 130 + 500;
+  private static final int GRACE_MS = 600;
+  private static final int STOP_MS = 3_000;
+  private static final int OPEN = 32;
+
+  /** One request as sent, and the words that came back for it. */
+  private record Sent(String body, boolean uwsgi, long dueMs, boolean afterGrace) { }
+
+  /** The rules, counted after each answer. */
+  private final class Book {
+    final Map<String, Integer> broken = new ConcurrentHashMap<>();
+    final Map<String, Integer> served = new ConcurrentHashMap<>();
+    final Map<String, Integer> asked = new ConcurrentHashMap<>();
+    final Map<Sent, Integer> answers = new ConcurrentHashMap<>();
+
+    void breach(String rule, Sent sent) {
+      broken.merge(rule + (sent == null ? "" : " " + sent.body), 1, Integer::sum);
+    }
+
+    /** {@code word} is OK, BUSY or FAILED on either wire. */
+    void answered(Sent sent, String word, String body) {
+      if (answers.merge(sent, 1, Integer::sum) > 1) {
+        breach("two answers", sent);
+      }
+      if (System.currentTimeMillis() > sent.dueMs + SLACK_MS) {
+        breach("late", sent);
+      }
+      long starts = rig.runtime.startsOf(sent.body);
+      if (starts > 1) {
+        breach("run twice", sent);
+      }
+      if (word.equals("OK")) {
+        served.merge(sent.uwsgi ? "uwsgi" : "resp", 1, Integer::sum);
+        if (starts == 0 || !body.equals(StandInRuntime.result(sent.body))) {
+          breach("served with what no run made", sent);
+        }
+      }
+      if (word.equals("BUSY") && starts > 0 && !sent.body.startsWith("load")) { // of a load another try may run
+        breach("refused after it ran", sent);
+      }
+      if (sent.afterGrace && starts > 0 && !sent.body.startsWith("load")) {
+        breach("run after the grace", sent);
+      }
+    }
+  }
+
+  /** A balancer's connection with its reader. */
+  private final class Balancer {
+    private final RespClient client;
+    private final Map<Long, Sent> open = new ConcurrentHashMap<>();
+    private final Semaphore places = new Semaphore(OPEN);
+    private volatile boolean leaving;
+    private long lastTag;
+
+    Balancer() throws IOException {
+      client = new RespClient(rig.node.port(), null);
+      pool.execute(this::read);
+    }
+
+    private void read() {
+      try {
+        for (List<String> words = client.read(); words != null; words = client.read()) {
+          if (words.get(1).equals("BYE")) {
+            leaving = true;
+          } else {
+            places.release();
+            Sent sent = open.remove(Long.parseLong(words.get(0)));
+            if (sent == null) {
+              book.breach("an answer to nothing", null);
+            } else {
+              book.answered(sent, words.get(1), words.get(3));
+            }
+          }
+          if (leaving && open.isEmpty()) {
+            client.close();
+            return;
+          }
+        }
+      } catch (IOException e) {
+        open.values().forEach(sent -> book.breach("connection broken under", sent));
+      }
+    }
+
+    void send(Sent sent, String klass, String key) {
+      if (leaving || !places.tryAcquire()) {
+        return;
+      }
+      book.asked.merge("resp", 1, Integer::sum);
+      long tag = ++lastTag;
+      open.put(tag, sent);
+      try {
+        client.send(RespClient.array("DO", tag, klass,
+            RespClient.fields(String.format("%016x", ids++), "small", WAIT_MS, key), sent.body));
+      } catch (IOException e) {
+        book.breach("connection closed under", sent);
+      }
+    }
+  }
+
+  @TempDir Path folder;
+  private final ExecutorService pool = Executors.newCachedThreadPool();
+  private final Book book = new Book();
+  private final List<Sent> all = new ArrayList<>();
+  private Rig rig;
+  private long ids = 1;
+
+  @Test void bothProtocolsKeepTheRulesAndNeitherStarves() throws Exception {
+    rig = new Rig(WORK_MS, STOP_MS, GRACE_MS, folder);
+    try {
+      List<Balancer> balancers = List.of(new Balancer(), new Balancer());
+      double perSecond = 1.5 * TestSite.CORES * 1000 / WORK_MS;
+      long gap = (long) (1e9 / perSecond);
+      long start = System.nanoTime();
+      int count = (int) (4 * perSecond);
+      for (int i = 0; i < count; i++) {
+        pace(start + i * gap);
+        one(i, balancers, false);
+        assertEquals(Map.of(), book.broken, "after request " + i);
+      }
+      int askedResp = book.asked.get("resp");
+      int askedUwsgi = book.asked.get("uwsgi");
+      double resp = (double) book.served.getOrDefault("resp", 0) / askedResp;
+      double uwsgi = (double) book.served.getOrDefault("uwsgi", 0) / askedUwsgi;
+      assertTrue(resp > 0.25 && uwsgi > 0.25, "served: resp " + resp + ", uwsgi " + uwsgi);
+      assertTrue(resp < 0.95 && uwsgi < 0.95, "no overload: resp " + resp + ", uwsgi " + uwsgi);
+      assertTrue(Math.max(resp, uwsgi) < 2 * Math.min(resp, uwsgi), "served: resp " + resp + ", uwsgi " + uwsgi);
+
+      Semaphore left = new Semaphore(0);
+      long notice = System.nanoTime();
+      rig.node.leave(left::release);
+      for (int i = 0; i < perSecond; i++) { // a second more, past the grace
+        pace(notice + i * gap);
+        one(count + i, balancers, System.nanoTime() - notice > (GRACE_MS + 100) * 1_000_000L);
+        assertEquals(Map.of(), book.broken, "after request " + i + " of the drain");
+      }
+      assertTrue(left.tryAcquire(STOP_MS, TimeUnit.MILLISECONDS), "it does not leave in time");
+      pool.shutdown();
+      assertTrue(pool.awaitTermination(10, TimeUnit.SECONDS));
+      all.stream().filter(sent -> !book.answers.containsKey(sent)).forEach(sent -> book.breach("lost", sent));
+      assertEquals(Map.of(), book.broken);
+    } finally {
+      pool.shutdownNow();
+      rig.close();
+    }
+  }
+
+  private static void pace(long until) throws InterruptedException {
+    long ns = until - System.nanoTime();
+    if (ns > 0) {
+      TimeUnit.NANOSECONDS.sleep(ns);
+    }
+  }
+
+  /** Sends by one protocol or the other; a load goes by both, under one key. */
+  private void one(int i, List<Balancer> balancers, boolean afterGrace) {
+    boolean load = i % 10 == 0;
+    String body = (load ? "load" : "read") + i;
+    String key = "key" + i;
+    if (load || i % 2 == 1) {
+      Sent sent = new Sent(body, true, System.currentTimeMillis() + WAIT_MS, afterGrace);
+      pool.execute(() -> uwsgi(sent, load, key));
+    }
+    if (load || i % 2 == 0) {
+      Sent sent = new Sent(body, false, System.currentTimeMillis() + WAIT_MS, afterGrace);
+      Balancer balancer = balancers.get(i / 2 % balancers.size());
+      balancer.send(sent, load ? "card-load" : "balance-check", load ? key : null);
+      if (balancer.open.containsValue(sent)) {
+        all.add(sent);
+      }
+    }
+  }
+
+  private void uwsgi(Sent sent, boolean load, String key) {
+    Map<String, String> vars = new LinkedHashMap<>(load
+        ? UwsgiClient.vars("POST", "/cards/loads", "till", "HTTP_IDEMPOTENCY_KEY", key)
+        : UwsgiClient.vars("GET", "/cards/x/balance", "till"));
+    vars.put("HTTP_X_DEADLINE_MS", Integer.toString(WAIT_MS));
+    try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+      book.asked.merge("uwsgi", 1, Integer::sum);
+      socket.getOutputStream().write(UwsgiClient.packet(vars, sent.body));
+      UwsgiClient.Reply reply = UwsgiClient.read(socket);
+      boolean neverRan = reply.header("X-Progress").equals("never-ran");
+      book.answered(sent, reply.status() == 200 ? "OK" : reply.status() == 503 || neverRan ? "BUSY" : "FAILED",
+          reply.body());
+      if (reply.status() != 200 && reply.status() != 503 && reply.status() != 504) {
+        book.breach("answered " + reply.status(), sent);
+      }
+    } catch (java.net.ConnectException e) {
+      if (!rig.ask(core -> core.pastGrace())) { // a refused connection: nothing ran
+        book.breach("not accepted", sent);
+      }
+    } catch (IOException e) {
+      book.breach("connection broken under", sent);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/node/Rig.java
@@ -0,0 +1,112 @@
+package rosecleat.node;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.NodeConfig;
+import rosecleat.core.Core;
+import rosecleat.log.Log;
+import rosecleat.standin.StandInRuntime;
+import rosecleat.standin.TestSite;
+import rosecleat.standin.UwsgiBackend;
+
+/** A whole node on loopback between stand-ins: a runtime, a uwsgi backend, and both fronts. */
+final class Rig implements AutoCloseable {
+  private static final String CARDS = """
+      openapi: 3.0.3
+      info: {title: cards, version: "1"}
+      paths:
+        /cards/{card}/balance:
+          parameters: [{name: card, in: path, required: true, schema: {type: string}}]
+          get: {operationId: getBalance, responses: {"200": {description: ok, content: {text/plain: {}}}}}
+        /files/{name}:
+          parameters: [{name: name, in: path, required: true, schema: {type: string}}]
+          get: {operationId: getFile, responses: {"200": {description: ok}}}
+          put: {operationId: putFile, responses: {"200": {description: ok}}}
+      """;
+  private static final String LOADS = """
+      asyncapi: 3.0.0
+      info: {title: loads, version: "1"}
+      channels: {loads: {address: cards/loads}}
+      operations: {receiveLoad: {action: receive, channel: {$ref: '#/channels/loads'}}}
+      """;
+  private static final String BROKER = """
+      uwsgi:
+        listen: 127.0.0.1:%d
+        limits: {packet_bytes: 4096, body_bytes: 1024, reply_bytes: 8000000, replies_bytes: 12000000, read_ms: 700,
+          stall_ms: 1000, reply_ms: 2000}
+      descriptions: [{openapi: cards.yaml}, {asyncapi: loads.yaml}]
+      services:
+        cards:
+          backend: runtime
+          contract: {getBalance: {class: balance-check}}
+          budget: {till: {tenant: small}, web: {tenant: big, quota_per_s: 50}}
+        loads:
+          backend: runtime
+          contract: {receiveLoad: {class: card-load, effect: token}}
+          budget: {till: {tenant: small}}
+        files:
+          backend: uwsgi://127.0.0.1:%d
+          contract:
+            getFile: {class: file-read, aim_ms: 1000, deadline_ms: 1500, effect: pure}
+            putFile: {class: file-write, aim_ms: 1000, deadline_ms: 1500, effect: token, window_ms: 4000}
+          budget: {till: {tenant: small}}
+      """;
+
+  final UwsgiBackend backend = new UwsgiBackend();
+  final StandInRuntime runtime;
+  final Node node;
+  final Log log = new Log(System.err);
+  final int uwsgiPort;
+
+  Rig(int workMs, int stopMs, int graceMs, Path folder) throws IOException {
+    this(workMs, stopMs, graceMs, folder, true);
+  }
+
+  /** A node that has a runtime, or (false) only its backends. */
+  Rig(int workMs, int stopMs, int graceMs, Path folder, boolean hasRuntime) throws IOException {
+    runtime = new StandInRuntime(workMs);
+    NodeConfig config = TestSite.config(hasRuntime ? runtime.port() : 0, 0, 0, stopMs, graceMs);
+    node = new Node(config, broker(folder, backend.port(), config, ""), log);
+    node.start();
+    uwsgiPort = node.uwsgiPort();
+    await(core -> core.ready());
+  }
+
+  /** A broker's file in a folder, with more sections at its end, read over a node's settings. */
+  static BrokerConfig broker(Path folder, int backend, NodeConfig config, String more) throws IOException {
+    Files.writeString(folder.resolve("cards.yaml"), CARDS);
+    Files.writeString(folder.resolve("loads.yaml"), LOADS);
+    Files.writeString(folder.resolve("broker.yaml"), BROKER.formatted(0, backend) + more);
+    return BrokerConfig.read(folder.resolve("broker.yaml"), config.start());
+  }
+
+  /** Asks the core something on its own thread. */
+  <T> T ask(Function<Core, T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    node.onLoop(() -> answer.complete(question.apply(node.core())));
+    return answer.orTimeout(10, TimeUnit.SECONDS).join();
+  }
+
+  /** Waits until something holds of the core. */
+  void await(Function<Core, Boolean> condition) {
+    long end = System.nanoTime() + 10_000_000_000L;
+    while (!ask(condition)) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("it did not come to hold: " + ask(core -> core.counters().toString()));
+      }
+      Thread.yield();
+    }
+  }
+
+  @Override public void close() {
+    node.close();
+    runtime.close();
+    backend.close();
+    log.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/node/SizesTest.java
@@ -0,0 +1,88 @@
+package rosecleat.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rosecleat.config.NodeConfig;
+import rosecleat.log.Log;
+import rosecleat.standin.RespClient;
+import rosecleat.standin.StandInIndex;
+import rosecleat.standin.StandInRuntime;
+import rosecleat.standin.TestSite;
+
+/** Other deployments than the one at hand: each starts, serves every class of its first and last tenant, and ends. */
+class SizesTest {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private static NodeConfig config(int runtime, int index, int classes, int tenants, int servers, int callers,
+      double callsOut, int sockets) throws Exception {
+    ObjectNode root = (ObjectNode) JSON.readTree(TestSite.config(runtime, index, 0, 2_000, 500).file().toString());
+    ((ObjectNode) root.path("limits")).put("sockets", sockets);
+    ObjectNode settings = (ObjectNode) root.path("settings");
+    settings.put("servers", servers).remove("zones");
+    ObjectNode extra = (ObjectNode) settings.path("extra");
+    extra.put("calls-out", callsOut).put("clients-total", callers);
+    ArrayNode grades = settings.putArray("grades");
+    ArrayNode calls = extra.putArray("class-calls");
+    ArrayNode without = extra.putArray("worth-without");
+    for (int i = 0; i < classes; i++) {
+      grades.addObject().put("name", name(i)).put("credit", 1).put("deadline-us", 3_000_000)
+          .put("effect", i % 2 == 1 ? "token" : "pure").put("promise-us", 2_000_000).put("window-us", 4_000_000);
+      calls.add(i == 0);
+      without.add(0);
+    }
+    ArrayNode parties = settings.putArray("parties");
+    for (int i = 0; i < tenants; i++) {
+      parties.addObject().put("name", "tenant-" + i).put("quota-per-s", 1);
+    }
+    return NodeConfig.parse(root.toString(), Map.of());
+  }
+
+  private static String name(int klass) {
+    return klass == 0 ? "card-refresh" : "class-" + klass; // the stand-in's runs of this name call below
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, 1, 1, 1, 0.2, 1024", "1100, 1500, 2000, 5000, 0.2, 1024", "40, 2, 300, 50, 500, 4096",
+      "4, 5, 93, 46, 0.91, 512", "2, 1, 120, 1, 0.2, 64", "3, 1500, 1, 1, 500, 32"})
+  void startsAndServes(int classes, int tenants, int servers, int callers, double callsOut, int sockets)
+      throws Exception {
+    try (Log log = new Log(System.err); StandInIndex index = new StandInIndex();
+        StandInRuntime runtime = new StandInRuntime(1)) {
+      NodeConfig config = config(runtime.port(), index.port(), classes, tenants, servers, callers, callsOut, sockets);
+      assertTrue(Warmup.play(config) > 0);
+      try (Node node = new Node(config, null, log)) {
+        node.start();
+        CompletableFuture<Boolean> ready = new CompletableFuture<>();
+        for (int wait = 0; wait < 1_000 && !ready.getNow(false); wait++) {
+          Thread.sleep(5);
+          ready = new CompletableFuture<>();
+          CompletableFuture<Boolean> asked = ready;
+          node.onLoop(() -> asked.complete(node.core().ready()));
+          ready.join();
+        }
+        try (RespClient client = new RespClient(node.port(), null)) {
+          int tag = 0;
+          for (String tenant : List.of("tenant-0", "tenant-" + (tenants - 1))) {
+            for (int c = 0; c < classes; c += Math.max(1, classes / 20)) {
+              tag++;
+              String once = c % 2 == 1 ? ",once=" + "%032x".formatted(tag) : "";
+              client.send(RespClient.array("DO", String.valueOf(tag), name(c), "id=%016x,at=%d,from=%d,tenant=%s,"
+                  .formatted(tag, System.currentTimeMillis(), callers, tenant) + "wait=2900,kb=2,rank=0.5" + once, "b"));
+              List<String> answer = client.answer();
+              assertEquals("OK", answer.get(1), "class " + c + " of " + tenant + ": " + answer);
+            }
+          }
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/node/UpgradeTest.java
@@ -0,0 +1,229 @@
+package rosecleat.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rosecleat.config.NodeConfig;
+import rosecleat.core.Core;
+import rosecleat.core.Counters;
+import rosecleat.handover.Handover;
+import rosecleat.log.Log;
+import rosecleat.net.EventLoop;
+import rosecleat.policy.PolicyApi;
+import rosecleat.standin.RespClient;
+import rosecleat.standin.StandInRoster;
+import rosecleat.standin.StandInRuntime;
+import rosecleat.standin.TestSite;
+
+/** A new version beside a running one: two nodes that share a folder and an address, as two processes would. */
+class UpgradeTest {
+  private final StandInRuntime oldRuntime = new StandInRuntime(300);
+  private final StandInRuntime newRuntime = new StandInRuntime(300);
+  private final StandInRoster roster = new StandInRoster();
+  private final Log log = new Log(System.err);
+  private Node older;
+  private Node newer;
+  private RespClient client;
+  private int ids;
+
+  @TempDir Path folder;
+
+  private Node node(StandInRuntime runtime, int port) throws IOException {
+    String file = TestSite.config(runtime.port(), 0, roster.port(), 2_000, 500).file().toString()
+        .replace("127.0.0.1:0", "127.0.0.1:" + port);
+    Counters counters = new Counters();
+    Node node = new Node(NodeConfig.parse(file, Map.of()), null, new EventLoop(log),
+        new Handover(folder, counters, log), counters, null, log);
+    node.start();
+    return node;
+  }
+
+  @BeforeEach void start() throws IOException {
+    older = node(oldRuntime, 0);
+    await(() -> ask(older, Core::ready));
+    client = new RespClient(older.port(), null);
+  }
+
+  /** The newer one takes clients as soon as its runtime is up, and not before. */
+  private void startNewer() throws IOException {
+    newRuntime.readyAfterMs = 300;
+    newer = node(newRuntime, older.port());
+    assertEquals(false, on(newer, newer::serving));
+    await(() -> on(newer, newer::serving));
+    await(() -> ask(older, core -> core.counters().get("shares.two")) == 1);
+  }
+
+  @AfterEach void stop() throws IOException {
+    client.close();
+    older.close();
+    if (newer != null) {
+      newer.close();
+    }
+    oldRuntime.close();
+    newRuntime.close();
+    roster.close();
+    log.close();
+  }
+
+  private static <T> T on(Node node, java.util.function.Supplier<T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    node.onLoop(() -> answer.complete(question.get()));
+    return answer.orTimeout(10, TimeUnit.SECONDS).join();
+  }
+
+  private static <T> T ask(Node node, Function<Core, T> question) {
+    return on(node, () -> question.apply(node.core()));
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + 10_000_000_000L;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "it did not come to hold");
+      Thread.yield();
+    }
+  }
+
+  private void send(RespClient to, int tag, String klass, String once, String body) throws IOException {
+    to.send(RespClient.array("DO", tag, klass, RespClient.fields(String.format("%016x", ++ids), "small", 1_100, once),
+        body));
+  }
+
+  /** Connects until the connection leads to the wanted one: the system spreads them while both listen. */
+  private RespClient clientOf(Node wanted) throws IOException {
+    for (int i = 0; i < 100; i++) {
+      int before = on(wanted, () -> (int) wanted.core().counters().get("resp.checks"));
+      RespClient fresh = new RespClient(older.port(), null);
+      fresh.send(RespClient.array("PING", 1, ""));
+      assertEquals("UP", fresh.read().get(1));
+      if (on(wanted, () -> (int) wanted.core().counters().get("resp.checks")) > before) {
+        return fresh;
+      }
+      fresh.close();
+    }
+    throw new AssertionError("no connection led there");
+  }
+
+  @Test void whatTheOldOneHoldsIsServedAndWhatComesLaterComesToTheNewOne() throws Exception {
+    startNewer();
+    send(client, 1, "balance-check", null, "held");
+    await(() -> oldRuntime.startsOf("held") == 1);
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    assertTrue(older.leave(() -> left.complete(null)) < 2_000_000, "longest deadline and 0.7 s");
+    assertEquals("BYE", client.read().get(1));
+    assertEquals(StandInRuntime.result("held"), client.read().get(3));
+    try (RespClient after = new RespClient(newer.port(), null)) {
+      send(after, 1, "balance-check", null, "later");
+      after.send(RespClient.array("PING", 2, ""));
+      assertEquals("UP", after.read().get(1));
+      assertEquals(StandInRuntime.result("later"), after.read().get(3));
+    }
+    assertEquals(1, newRuntime.startsOf("later"));
+    client.close();
+    left.get(3, TimeUnit.SECONDS);
+    older.close();
+    await(() -> ask(newer, core -> core.counters().get("shares.one")) == 1);
+    assertTrue(roster.reports.stream().noneMatch(r -> r.contains("off")), roster.reports.toString());
+    client = new RespClient(newer.port(), null);
+    newer.leave(() -> { }); // nobody takes over from this one: its notice to drain
+    await(() -> roster.reports.get(roster.reports.size() - 1).contains("off"));
+    client.send(RespClient.array("PING", 2, ""));
+    assertEquals("DOWN", client.answer().get(1)); // on a busy machine the wish to close may come first
+  }
+
+  /** Guards keyed requests, whose tries reach either process: one runs, the others get its bytes. */
+  @Test void aKeyRunsInOneProcessAlone() throws Exception {
+    startNewer();
+    try (RespClient a = clientOf(older); RespClient b = clientOf(newer)) {
+      send(a, 2, "card-load", "k", "body");
+      await(() -> oldRuntime.startsOf("body") == 1);
+      send(b, 2, "card-load", "k", "body"); // while it runs
+      assertEquals(StandInRuntime.result("body"), b.answer().get(3));
+      assertEquals(StandInRuntime.result("body"), a.answer().get(3));
+      send(b, 3, "card-load", "k", "body"); // after it ran
+      assertEquals(StandInRuntime.result("body"), b.answer().get(3));
+      send(b, 4, "card-load", "k", "other");
+      assertEquals("FAILED", b.answer().get(1));
+      assertEquals(0, newRuntime.starts.size());
+      send(b, 5, "card-load", "k2", "second");
+      assertEquals(StandInRuntime.result("second"), b.answer().get(3));
+      send(a, 5, "card-load", "k2", "second");
+      assertEquals(StandInRuntime.result("second"), a.answer().get(3));
+      assertEquals(0, oldRuntime.startsOf("second"));
+      send(a, 6, "card-load", "k3", "lost");
+      await(() -> oldRuntime.startsOf("lost") == 1);
+      older.close(); // killed in the middle of a run
+      send(b, 6, "card-load", "k3", "lost");
+      assertEquals("FAILED", b.answer().get(1));
+      assertEquals(0, newRuntime.startsOf("lost"));
+    }
+    assertEquals(0, ask(newer, Core::inHand));
+  }
+
+  /** Guards the shared index: two modules, each by its own count, would make twice the calls that the node may. */
+  @Test void bothTogetherKeepToTheLimitsOfOne() throws Exception {
+    startNewer();
+    PolicyApi.Settings whole = TestSite.config(0, 0, 0, 2_000, 500).start().settings();
+    try (RespClient a = clientOf(older); RespClient b = clientOf(newer)) {
+      for (int tag = 2; tag < 26; tag++) {
+        send(a, tag, "balance-check", null, "x");
+        send(b, tag, "balance-check", null, "x");
+      }
+      await(() -> on(older, older::limits).memoryKb() < 0.6 * whole.memoryKb());
+      double sum = on(older, older::limits).memoryKb() + on(newer, newer::limits).memoryKb();
+      assertTrue(sum < 1.1 * whole.memoryKb(), sum + " of " + whole.memoryKb());
+      double calls = on(older, older::limits).callsOut() + on(newer, newer::limits).callsOut();
+      assertTrue(calls < 1.1 * whole.callsOut(), calls + " of " + whole.callsOut());
+    }
+    older.close();
+    await(() -> on(newer, newer::limits).memoryKb() == whole.memoryKb());
+  }
+
+  /** Guards clients of a node whose new process dies before it serves: the old one must drain as if it were alone. */
+  @Test void whenTheNewOneIsGoneTheOldOneDrains() throws Exception {
+    newRuntime.readyAfterMs = 60_000;
+    newer = node(newRuntime, older.port());
+    older.leave(() -> { });
+    client.send(RespClient.array("PING", 1, ""));
+    assertEquals("UP", client.read().get(1));
+    newer.close();
+    await(() -> roster.reports.stream().anyMatch(r -> r.contains("off")));
+    assertEquals(List.of(), newRuntime.starts);
+  }
+
+  @Test void whatOperatorsSayIsKnownToBoth() throws Exception {
+    startNewer();
+    Counters counters = new Counters();
+    try (RespClient a = clientOf(older); RespClient b = clientOf(newer);
+        Handover told = new Handover(folder, counters, log)) {
+      told.drain(true);
+      for (RespClient each : List.of(a, b)) {
+        await(() -> health(each).equals("DOWN"));
+      }
+      told.drain(false);
+      for (RespClient each : List.of(a, b)) {
+        await(() -> health(each).equals("UP"));
+      }
+    }
+  }
+
+  private static String health(RespClient client) {
+    try {
+      client.send(RespClient.array("PING", 1, ""));
+      return client.answer().get(1);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/node/UwsgiFrontTest.java
@@ -0,0 +1,346 @@
+package rosecleat.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rosecleat.standin.UwsgiClient.exchange;
+import static rosecleat.standin.UwsgiClient.packet;
+import static rosecleat.standin.UwsgiClient.vars;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.NodeConfig;
+import rosecleat.standin.RespClient;
+import rosecleat.standin.StandInRuntime;
+import rosecleat.standin.TestSite;
+import rosecleat.standin.UwsgiBackend.Mood;
+import rosecleat.standin.UwsgiClient;
+import rosecleat.standin.UwsgiClient.Reply;
+
+/** The second front from request to answer, over loopback: each status, and what each proves. */
+class UwsgiFrontTest {
+  @TempDir Path folder;
+  private Rig rig;
+
+  @BeforeEach void start() throws IOException {
+    rig = new Rig(20, 3_000, 1_500, folder);
+  }
+
+  @AfterEach void stop() {
+    rig.close();
+  }
+
+  private Reply get(String path, String... more) throws IOException {
+    return exchange(rig.uwsgiPort, packet(vars("GET", path, "till", more), ""));
+  }
+
+  private Reply load(String key, String body) throws IOException {
+    return exchange(rig.uwsgiPort, packet(vars("POST", "/cards/loads", "till", "HTTP_IDEMPOTENCY_KEY", key), body));
+  }
+
+  private Reply put(String key) throws IOException {
+    return exchange(rig.uwsgiPort, packet(vars("PUT", "/files/a", "till", "HTTP_IDEMPOTENCY_KEY", key), "new"));
+  }
+
+  @Test void aReadIsServedWithItsParametersAndDescribedType() throws IOException {
+    Reply reply = get("/cards/77/balance", "QUERY_STRING", "unit=cent%73&card=1");
+    assertEquals(200, reply.status());
+    assertEquals(StandInRuntime.result("{\"unit\":\"cents\",\"card\":\"77\"}"), reply.body());
+    assertEquals("text/plain", reply.header("Content-Type"));
+  }
+
+  /** Guards contracts against reloads: their classes and tenants go by other numbers in a file with other names. */
+  @Test void contractsGoOnUnderNewSettings() throws IOException {
+    assertEquals(200, get("/files/a").status());
+    String file = TestSite.config(rig.runtime.port(), 0, 0, 3_000, 1_500).file().toString()
+        .replace("card-refresh", "card-status")
+        .replace("{\"name\":\"big\"", "{\"name\":\"new\",\"quota-per-s\":5},{\"name\":\"big\"");
+    NodeConfig fresh = NodeConfig.parse(file, Map.of());
+    assertEquals(3, fresh.start().tenants().size());
+    rig.node.reload(new Setup(fresh, BrokerConfig.read(folder.resolve("broker.yaml"), fresh.start())));
+    assertEquals(200, get("/cards/77/balance").status());
+    assertEquals(200, get("/files/a").status());
+    assertEquals(200, load("after", "x").status());
+    assertEquals(1L, (long) rig.ask(core -> core.counters().get("reloads")));
+  }
+
+  @Test void anyCutOfTheBytesIsTheSameRequest() throws Exception {
+    byte[] bytes = packet(vars("POST", "/cards/loads", "till", "HTTP_IDEMPOTENCY_KEY", "cut"), "amount=5");
+    Random random = new Random(11);
+    for (int round = 0; round < 8; round++) {
+      try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+        for (int at = 0; at < bytes.length;) {
+          int end = Math.min(bytes.length, at + 1 + random.nextInt(round == 0 ? 1 : 60));
+          socket.getOutputStream().write(bytes, at, end - at);
+          at = end;
+          Thread.sleep(1);
+        }
+        assertEquals(StandInRuntime.result("amount=5"), UwsgiClient.read(socket).body());
+      }
+    }
+    assertEquals(1, rig.runtime.startsOf("amount=5"));
+  }
+
+  @Test void whatTheCallerGotWrongIsNamed() throws IOException {
+    assertEquals(404, get("/cards/77").status());
+    assertEquals(404, get("/elsewhere/1/balance").status());
+    Reply method = exchange(rig.uwsgiPort, packet(vars("DELETE", "/files/a", "till"), ""));
+    assertEquals(405, method.status());
+    assertEquals("GET, HEAD, OPTIONS, PUT", method.header("Allow"));
+    assertEquals(403, exchange(rig.uwsgiPort, packet(vars("GET", "/cards/7/balance", "nobody"), "")).status());
+    assertEquals(400, exchange(rig.uwsgiPort, packet(vars("POST", "/cards/loads", "till"), "x")).status());
+    assertEquals(400, load("spaces are none", "x").status());
+    assertEquals(400, get("/cards/7/balance", "HTTP_X_DEADLINE_MS", "soon").status());
+    assertEquals(400, get("/cards/7/balance", "QUERY_STRING", "a=%zz").status());
+    assertEquals(400, get("/cards/7/balance", "CONTENT_LENGTH", "-1").status());
+    assertEquals(413, load("big", "y".repeat(1025)).status());
+    assertEquals(413, get("/cards/7/balance", "HTTP_X_LONG", "z".repeat(4096)).status());
+    byte[] cut = packet(vars("GET", "/cards/7/balance", "till"), "");
+    cut[4] = (byte) 0xff; // the first var's name now runs past the packet
+    cut[5] = (byte) 0xff;
+    assertEquals(400, exchange(rig.uwsgiPort, cut).status());
+    byte[] other = packet(vars("GET", "/cards/7/balance", "till"), "");
+    other[0] = 5;
+    assertEquals(400, exchange(rig.uwsgiPort, other).status());
+    assertEquals(0, rig.runtime.starts.size());
+  }
+
+  @Test void aPingIsAnswered() throws IOException {
+    try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+      socket.getOutputStream().write(new byte[] {100, 0, 0, 0});
+      assertTrue(Arrays.equals(new byte[] {100, 0, 0, 1}, socket.getInputStream().readAllBytes()));
+    }
+  }
+
+  @Test void whatIsNotDoneInTimeIsAGatewayTimeout() throws IOException {
+    rig.backend.mood = Mood.SLOW;
+    long start = System.nanoTime();
+    Reply reply = get("/files/a", "HTTP_X_DEADLINE_MS", "300");
+    assertEquals(504, reply.status());
+    assertEquals("may-have-run", reply.header("X-Progress"));
+    assertTrue(System.nanoTime() - start < 800_000_000L, "it came late");
+    rig.await(core -> rig.backend.closedOnUs.get() == 1); // its run was stopped
+  }
+
+  @Test void theContractsDeadlineHoldsWhereTheCallerNamesNone() throws IOException {
+    rig.backend.mood = Mood.SLOW;
+    long start = System.nanoTime();
+    assertEquals(504, get("/files/a").status());
+    assertTrue(System.nanoTime() - start < 2_000_000_000L, "it came late");
+  }
+
+  @Test void whatIsTurnedAwayIsToldWhenToComeBack() throws Exception {
+    byte[] bytes = packet(vars("GET", "/cards/late/balance", "till"), "");
+    rig.node.leave(() -> { });
+    assertEquals(200, get("/cards/2/balance").status(), "within the grace work is still done");
+    rig.await(core -> core.draining());
+    Thread.sleep(1_200);
+    try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+      socket.getOutputStream().write(bytes, 0, 10); // begun within the grace, whole only after it
+      rig.await(core -> core.pastGrace());
+      socket.getOutputStream().write(bytes, 10, bytes.length - 10);
+      Reply refused = UwsgiClient.read(socket);
+      assertEquals(503, refused.status());
+      assertEquals("1", refused.header("Retry-After"));
+      assertEquals("never-ran", refused.header("X-Progress"));
+    }
+    rig.await(core -> rig.node.uwsgi().open() == 0);
+    Thread.sleep(600); // the listening ends once no connection comes
+    assertThrows(java.net.ConnectException.class, () -> get("/cards/3/balance"));
+    assertEquals(1, rig.runtime.starts.size());
+  }
+
+  @Test void aBackendThatIsNotThereProvesThatNothingRan() throws IOException {
+    int before = rig.backend.requests.get();
+    rig.backend.close();
+    Reply reply = put("k1");
+    assertEquals(502, reply.status());
+    assertEquals("never-ran", reply.header("X-Progress"));
+    assertEquals(502, put("k1").status()); // so the key may run: it is tried again, not held for done
+    assertEquals(2L, rig.ask(core -> core.counters().get("backend.unreached")).longValue());
+    assertEquals(before, rig.backend.requests.get());
+  }
+
+  @Test void aBreakAfterTheRequestWasSentProvesNothing() throws IOException {
+    rig.backend.mood = Mood.BREAKS;
+    Reply reply = put("k2");
+    assertEquals(502, reply.status());
+    assertEquals("may-have-run", reply.header("X-Progress"));
+    rig.backend.mood = Mood.GOOD;
+    assertEquals(502, put("k2").status()); // it may have had its effect: it is not sent again
+    assertEquals(1, rig.backend.requests.get());
+    assertEquals(200, put("k3").status());
+  }
+
+  @Test void aServicesOwnAnswerReachesTheCallerUnchanged() throws IOException {
+    rig.backend.script = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 Nope\r\nContent-Type: application/json\r\n"
+        + "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nConnection: X-Own, close\r\nX-Own: dropped\r\nKeep-Alive: 5\r\n"
+        + "ETag: \"7\"\r\nContent-Length: 5\r\n\r\n{\"a\"}";
+    Reply reply = get("/files/a");
+    assertEquals(404, reply.status());
+    assertEquals("{\"a\"}", reply.body());
+    assertEquals("HTTP/1.1 404 Not Found\r\nContent-Type: application/json\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+        + "ETag: \"7\"\r\nContent-Length: 5\r\nConnection: close", reply.head());
+    rig.backend.script = "HTTP/1.1 500 Oops\r\n\r\nwhy";
+    assertEquals(500, get("/files/a").status());
+    rig.backend.script = "HTTP/1.1 204 No Content\r\nContent-Length: 7\r\n\r\n";
+    Reply empty = get("/files/a");
+    assertEquals(204, empty.status());
+    assertEquals("", empty.header("Content-Length"));
+  }
+
+  @Test void whatIsKeptForAKeyIsTheWholeAnswer() throws IOException {
+    rig.backend.script = "HTTP/1.1 409 Conflict\r\nX-Why: taken\r\nContent-Length: 4\r\n\r\nfull";
+    Reply first = put("k7");
+    assertEquals(409, first.status());
+    rig.backend.script = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assertEquals(first, put("k7"), "status, headers and body of the first");
+    assertEquals(1, rig.backend.requests.get());
+  }
+
+  @Test void anAnswerThatCouldForgeAnotherIsABadGateway() throws IOException {
+    for (String bad : List.of("HTTP/1.1 200 OK\r\nX-A: b\rSet-Cookie: c\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 101 Switching\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nlong")) {
+      rig.backend.script = bad;
+      Reply reply = get("/files/a");
+      assertEquals(502, reply.status(), bad);
+      assertEquals("ran", reply.header("X-Progress"));
+    }
+  }
+
+  @Test void headIsAnsweredLikeGetAndOptionsByTheBroker() throws IOException {
+    Reply head = UwsgiClient.exchange(rig.uwsgiPort, UwsgiClient.packet(UwsgiClient.vars("HEAD", "/files/a", "till"), ""));
+    assertEquals(200, head.status());
+    assertEquals("10", head.header("Content-Length"));
+    assertEquals("", head.body());
+    assertTrue(rig.backend.lastPacket.contains("GET"), "a service is asked by the method it describes");
+    int before = rig.backend.requests.get();
+    Reply options = UwsgiClient.exchange(rig.uwsgiPort, UwsgiClient.packet(UwsgiClient.vars("OPTIONS", "/files/a", ""), ""));
+    assertEquals(204, options.status());
+    assertEquals("GET, HEAD, OPTIONS, PUT", options.header("Allow"));
+    assertEquals(404, UwsgiClient.exchange(rig.uwsgiPort,
+        UwsgiClient.packet(UwsgiClient.vars("OPTIONS", "/nowhere", ""), "")).status());
+    assertEquals(before, rig.backend.requests.get());
+  }
+
+  @Test void aBackendIsAskedInItsOwnProtocol() throws IOException {
+    assertEquals("x".repeat(10), get("/files/a", "HTTP_X_OTHER", "kept").body());
+    for (String var : List.of("REQUEST_METHOD", "PATH_INFO", "HTTP_X_OTHER", "HTTP_X_DEADLINE_MS",
+        "HTTP_X_REQUEST_ID")) {
+      assertTrue(rig.backend.lastPacket.contains(var), var);
+    }
+  }
+
+  @Test void aBrokerNeedsNoRuntime() throws IOException {
+    rig.close();
+    rig = new Rig(20, 3_000, 1_500, folder, false);
+    for (int i = 0; i < 30; i++) {
+      assertEquals(200, get("/files/" + i).status());
+    }
+    assertEquals(30, rig.backend.requests.get());
+    Reply none = get("/cards/7/balance");
+    assertEquals(502, none.status());
+    assertEquals("never-ran", none.header("X-Progress"));
+    assertEquals(0, rig.runtime.commands.size());
+  }
+
+  @Test void aCallerThatClosesHasGone() throws IOException {
+    rig.backend.mood = Mood.SLOW;
+    try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+      socket.getOutputStream().write(packet(vars("GET", "/files/a", "till"), ""));
+      rig.await(core -> rig.backend.requests.get() == 1);
+    }
+    rig.await(core -> rig.backend.closedOnUs.get() == 1 && core.counters().get("gone") == 1 && core.inHand() == 0);
+  }
+
+  @Test void aCallerThatNeverFinishesIsCutOff() throws IOException {
+    try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+      socket.getOutputStream().write(packet(vars("GET", "/cards/1/balance", "till"), ""), 0, 9);
+      assertEquals(-1, socket.getInputStream().read());
+    }
+    rig.await(core -> core.counters().get("uwsgi.slow") == 1);
+  }
+
+  @Test void aCallerThatTricklesIsCutOffToo() throws Exception {
+    rig.backend.bytes = 6_000_000;
+    try (Socket socket = UwsgiClient.open(rig.uwsgiPort)) {
+      socket.getOutputStream().write(packet(vars("GET", "/files/a", "till"), ""));
+      long start = System.nanoTime();
+      long taken = 0;
+      try {
+        for (int got = 0; got >= 0; taken += got) { // always some progress, but 6 MB would take over 6 s
+          Thread.sleep(50);
+          got = socket.getInputStream().read(new byte[50_000]);
+        }
+      } catch (java.net.SocketException e) {
+        // reset: it was cut off
+      }
+      assertTrue(taken < 6_000_000, "all was taken");
+      assertTrue(System.nanoTime() - start < 10_000_000_000L, "it was cut off late");
+    }
+    rig.await(core -> rig.node.uwsgi().open() == 0 && rig.node.uwsgi().replying() == 0);
+  }
+
+  @Test void oneLoadRunsOnceAcrossBothFronts() throws IOException {
+    String key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    assertEquals(StandInRuntime.result("load 5"), load(key, "load 5").body());
+    try (RespClient resp = new RespClient(rig.node.port(), null)) {
+      resp.send(RespClient.array("DO", 1, "card-load", RespClient.fields("00000000000000a1", "small", 900, key),
+          "load 5"));
+      assertEquals(StandInRuntime.result("load 5"), resp.answer().get(3));
+      resp.send(RespClient.array("DO", 2, "card-load", RespClient.fields("00000000000000a2", "small", 900, "other"),
+          "load 6"));
+      assertEquals("OK", resp.answer().get(1));
+    }
+    assertEquals(StandInRuntime.result("load 6"), load("other", "load 6").body());
+    assertEquals(400, load("other", "load 7").status()); // the key belongs to another body
+    assertEquals(1, rig.runtime.startsOf("load 5"));
+    assertEquals(1, rig.runtime.startsOf("load 6"));
+    assertEquals(0, rig.runtime.startsOf("load 7"));
+  }
+
+  /** The hard case: a large reply half read, while the other front goes on; in bounded memory, closed in time. */
+  @Test void aCallerThatStopsReadingHarmsNobody() throws Exception {
+    rig.backend.bytes = 6_000_000;
+    Map<Integer, Socket> stuck = new HashMap<>();
+    for (int i = 0; i < 4; i++) { // two fit into the bound on replies, the others are told there is no room
+      Socket socket = UwsgiClient.open(rig.uwsgiPort);
+      socket.getOutputStream().write(packet(vars("GET", "/files/" + i, "till"), ""));
+      stuck.put(i, socket);
+      int want = i + 1;
+      rig.await(core -> core.counters().get("uwsgi.status.200") + core.counters().get("uwsgi.noroom") == want);
+    }
+    assertEquals(2L, rig.ask(core -> core.counters().get("uwsgi.noroom")).longValue());
+    assertTrue(rig.ask(core -> rig.node.uwsgi().replying()) <= 12_000_000);
+    assertNotNull(stuck.get(0).getInputStream().readNBytes(100_000));
+    long start = System.nanoTime();
+    try (RespClient resp = new RespClient(rig.node.port(), null)) {
+      for (int tag = 1; tag <= 40; tag++) {
+        resp.send(RespClient.array("DO", tag, "balance-check",
+            RespClient.fields(String.format("%016x", tag), "small", 900, null), "b" + tag));
+        assertEquals(StandInRuntime.result("b" + tag), resp.answer().get(3));
+      }
+    }
+    assertTrue(System.nanoTime() - start < 4_000_000_000L, "the other front was held up");
+    rig.await(core -> rig.node.uwsgi().open() <= 2 && rig.node.uwsgi().replying() == 0);
+    for (Socket socket : stuck.values()) {
+      socket.close();
+    }
+    rig.await(core -> rig.node.uwsgi().open() == 0);
+    rig.backend.bytes = 10;
+    assertEquals(200, get("/files/a").status());
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/node/WarmupTest.java
@@ -0,0 +1,14 @@
+package rosecleat.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import rosecleat.standin.TestSite;
+
+/** The lives played before a node listens are whole ones: read, run, called for and served. */
+class WarmupTest {
+  @Test void madeUpRequestsAreServed() {
+    long served = Warmup.play(TestSite.config(1, 0, 0, 2_000, 500));
+    assertTrue(served > 100, "served " + served);
+  }
+}
