--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run clean
+.PHONY: build test lint run ask clean
 
 build:
 	mvn -q -B -DskipTests package
@@ -11,14 +11,21 @@
 	mvn -q -B -DskipTests -Plint clean package
 	sh .ci/module-size
 
+# A broker by itself, on a fresh machine: it answers what the descriptions show.
 run: build
-	$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
+	java -jar target/rosecleat.jar serve --broker deploy/broker.yaml
+
+# One uwsgi request to it; prints the status and the body.
+ASK = 127.0.0.1:3031 GET /cards/77/balance aspen-dining
+ask:
+	@test -f target/rosecleat.jar || $(MAKE) -s build
+	@java -cp target/rosecleat.jar rosecleat.front.uwsgi.AskOnce $(ASK)
 
 clean:
 	mvn -q -B clean
 
 # Measurements; long, and no part of the tests. Each prints the table that docs/measurements keeps.
-.PHONY: measure-classes measure-state measure-store
+.PHONY: measure-classes measure-state measure-store measure-fleet measure-routes
 
 measure-classes: build
 	mvn -q -B test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath -Dmdep.includeScope=test
@@ -32,3 +39,13 @@
 
 measure-store: measure-classes
 	$(MEASURE) rosecleat.measure.StoreSpeed target/measure
+
+# The view of a fleet: FLEET_SEEDS plays of each row on virtual time, then FLEET_PROCESSES real ones.
+FLEET_SEEDS = 64
+FLEET_PROCESSES = 40
+measure-fleet: measure-classes
+	java -Xmx6g -cp target/test-classes:target/classes:$$(cat target/classpath) rosecleat.measure.FleetView $(FLEET_SEEDS)
+	$(MEASURE) rosecleat.rig.FleetProcesses $(FLEET_PROCESSES) 1000
+
+measure-routes: measure-classes
+	$(MEASURE) rosecleat.measure.RoutesSpeed
--- a/src/main/java/rosecleat/cli/Main.java
+++ b/src/main/java/rosecleat/cli/Main.java
@@ -17,13 +17,17 @@
 import rosecleat.config.BrokerSchema;
 import rosecleat.config.ConfigException;
 import rosecleat.config.NodeConfig;
+import rosecleat.config.Standalone;
+import rosecleat.node.Rehearsal;
+import rosecleat.node.Serving;
+import rosecleat.node.Setup;
 
 /** The command line. Wrong words and wrong configurations end with one line on standard error and exit code 2. */
 public final class Main {
   /** The version that {@code version} prints; the jar's manifest has it. */
   private static final String UNPACKED = "unpacked";
 
-  @Parameters(commandDescription = "run one card node, configured by PROXY_CONFIG")
+  @Parameters(commandDescription = "run one node, configured by PROXY_CONFIG or, without it, by the broker's file alone")
   private static final class Serve {
     @Parameter(names = "--broker", description = "the file that turns on the uwsgi front")
     private String broker;
@@ -32,7 +36,9 @@
     private int countersEvery;
 
     Setup setup(Map<String, String> env) {
-      NodeConfig config = NodeConfig.fromEnvironment(env);
+      String platform = env.get("PROXY_CONFIG");
+      NodeConfig config = broker != null && (platform == null || platform.isBlank())
+          ? Standalone.read(Path.of(broker)) : NodeConfig.fromEnvironment(env);
       return new Setup(config, broker(config));
     }
 
@@ -84,7 +90,8 @@
     }
   }
 
-  static int run(String[] args, Map<String, String> env, InputStream in, OutputStream out) {
+  /** Runs a sub-command with this environment and these streams; returns its exit code, or that the process goes on. */
+  public static int run(String[] args, Map<String, String> env, InputStream in, OutputStream out) {
     Serve serve = new Serve();
     Check check = new Check();
     JCommander commands = JCommander.newBuilder().programName("rosecleat").addCommand("serve", serve)
--- a/src/main/java/rosecleat/cli/package-info.java
+++ b/src/main/java/rosecleat/cli/package-info.java
@@ -1,2 +1,2 @@
-/** The command line, and the process round a node. */
+/** The command line: words, files and exit codes. */
 package rosecleat.cli;
--- a/src/main/java/rosecleat/config/BrokerConfig.java
+++ b/src/main/java/rosecleat/config/BrokerConfig.java
@@ -19,9 +19,14 @@
  *
  * @param start the node's settings, with the classes and tenants that contracts and budgets add at the end
  * @param state where the node keeps what it learnt; null where it keeps nothing
+ * @param fleet how the process takes part in a fleet; null where it stands alone
+ * @param routes what it publishes; null where it follows the fleet
+ * @param ownRoom requests that its services without routes work on at once, where the instances of the others say how many
+ *     more; -1 where the room is given
  */
 public record BrokerConfig(InetSocketAddress listen, int connections, Limits limits, Vars vars,
-    List<Operation> operations, SettingsReader.Start start, State state) {
+    List<Operation> operations, SettingsReader.Start start, State state, FleetConfig fleet, RoutesFile routes,
+    int ownRoom) {
 
   /** Where what was learnt is kept, in microseconds and bytes. */
   public record State(Path folder, long everyUs, long maxBytes, long halfLifeUs) { }
@@ -38,12 +43,12 @@
    *
    * @param kind the class by name, as its runner knows it
    * @param klass the position of its class in the settings
-   * @param keyed whether its tries carry an idempotency key
-   * @param backend where it runs over uwsgi; null for the machine's runtime
+   * @param keyed whether its tries carry an idempotency key, which is remembered for {@code windowUs}
+   * @param backend what does its work; null for the machine's runtime
    * @param tenants the tenants of the teams that have a budget, by team
    */
-  public record Operation(String id, String method, String path, String contentType, String kind, int klass,
-      boolean keyed, long deadlineUs, double kb, double rank, InetSocketAddress backend,
+  public record Operation(String service, String id, String method, String path, String contentType, String kind, int klass,
+      boolean keyed, long windowUs, long deadlineUs, double kb, double rank, Backend backend,
       Map<String, Integer> tenants) { }
 
   /** The same with other numbers for its classes and tenants: what stood at a position goes by the number there. */
@@ -51,17 +56,28 @@
     List<Operation> all = operations.stream().map(o -> {
       Map<String, Integer> teams = new HashMap<>();
       o.tenants.forEach((team, tenant) -> teams.put(team, tenantNumbers.get(tenant)));
-      return new Operation(o.id, o.method, o.path, o.contentType, o.kind, classNumbers.get(o.klass), o.keyed,
-          o.deadlineUs, o.kb, o.rank, o.backend, Map.copyOf(teams));
+      return new Operation(o.service, o.id, o.method, o.path, o.contentType, o.kind, classNumbers.get(o.klass), o.keyed,
+          o.windowUs, o.deadlineUs, o.kb, o.rank, o.backend, Map.copyOf(teams));
     }).toList();
-    return new BrokerConfig(listen, connections, limits, vars, all, start, state);
+    return new BrokerConfig(listen, connections, limits, vars, all, start, state, fleet, routes, ownRoom);
   }
 
   private static final String RUNTIME = "runtime";
   private static final String UWSGI = "uwsgi://";
 
+  /** Whether any operation runs on the instances that the table of routes names. */
+  public boolean followsRoutes() {
+    return operations.stream().anyMatch(o -> o.backend instanceof Backend.Fleet);
+  }
+
   /** Reads a broker's file over a node's settings. */
   public static BrokerConfig read(Path file, SettingsReader.Start start) {
+    JsonNode root = text(file);
+    return new Reading(file.toAbsolutePath().getParent(), root, start).broker();
+  }
+
+  /** A broker's file that holds to the schema. */
+  static JsonNode text(Path file) {
     JsonNode root;
     List<String> findings;
     try {
@@ -77,7 +93,7 @@
     if (!findings.isEmpty()) {
       throw new ConfigException("the broker's file " + file + ": " + String.join("; ", findings));
     }
-    return new Reading(file.toAbsolutePath().getParent(), root, start).broker();
+    return root;
   }
 
   /** One reading of a file. */
@@ -90,6 +106,7 @@
     private final List<PolicyApi.Tenant> tenants;
     private final List<String> tenantNames;
     private final Map<String, Descriptions.Described> described = new HashMap<>();
+    private FleetConfig fleet;
 
     Reading(Path folder, JsonNode root, SettingsReader.Start start) {
       this.folder = folder;
@@ -107,6 +124,7 @@
       if (listen == null) {
         throw new ConfigException("the broker's file lacks uwsgi.listen");
       }
+      fleet = FleetConfig.of(root, root.path("name").asText("broker"));
       describe();
       List<Operation> operations = new ArrayList<>();
       root.path("services").properties().forEach(service ->
@@ -125,7 +143,27 @@
           v.path("key").asText("HTTP_IDEMPOTENCY_KEY"), v.path("retry").asText("HTTP_X_RETRY"));
       return new BrokerConfig(listen, whole(uwsgi, "connections", 128), limits, vars, List.copyOf(operations),
           new SettingsReader.Start(start.settings().with(List.copyOf(classes), List.copyOf(tenants)),
-              start.gauges(), List.copyOf(classNames), List.copyOf(tenantNames)), state());
+              start.gauges(), List.copyOf(classNames), List.copyOf(tenantNames)), state(),
+          fleet, routes(), ownRoom());
+    }
+
+    private int ownRoom() {
+      if (!start.classes().isEmpty() || root.path("limits").has("cores")) {
+        return -1; // a platform's, or the file's own word
+      }
+      int others = 0;
+      int routed = 0;
+      for (JsonNode service : root.path("services")) {
+        boolean follows = service.path("backend").asText().equals("fleet");
+        routed += follows ? 1 : 0;
+        others += follows ? 0 : Standalone.CORES;
+      }
+      return routed == 0 ? -1 : others;
+    }
+
+    private RoutesFile routes() {
+      Path file = FleetConfig.routes(root, folder);
+      return file == null ? null : RoutesFile.read(file);
     }
 
     private State state() {
@@ -160,7 +198,7 @@
       if (one == null) {
         throw new ConfigException("operation " + id + " of " + service + " is not described");
       }
-      InetSocketAddress backend = backend(service, terms.path("backend").asText(RUNTIME));
+      Backend backend = backend(service, terms, one);
       String kind = contract.path("class").asText("");
       if (kind.isEmpty()) {
         throw new ConfigException("operation " + id + " lacks a class");
@@ -177,23 +215,34 @@
       if (teams.isEmpty()) {
         throw new ConfigException("service " + service + " has no budget");
       }
-      return new Operation(id, one.method(), one.path(), one.contentType(), kind, klass,
-          classes.get(klass).effect() == Effect.KEYED, classes.get(klass).dueUs(), kb, rank, backend,
+      return new Operation(service, id, one.method(), one.path(), one.contentType(), kind, klass,
+          classes.get(klass).effect() == Effect.KEYED, classes.get(klass).windowUs(), classes.get(klass).dueUs(), kb, rank, backend,
           Map.copyOf(teams));
     }
 
-    private static InetSocketAddress backend(String service, String text) {
-      if (text.equals(RUNTIME)) {
-        return null;
-      }
-      if (!text.startsWith(UWSGI)) {
-        throw new ConfigException("backend of " + service + " is neither runtime nor uwsgi://host:port");
+    private Backend backend(String service, JsonNode terms, Descriptions.Described one) {
+      String text = terms.path("backend").asText(RUNTIME);
+      switch (text) {
+        case RUNTIME -> {
+          return null;
+        }
+        case "sample" -> {
+          return new Backend.Sample(one.contentType(), one.sample(), 1000L * whole(terms, "sample_ms", 5));
+        }
+        case "fleet" -> {
+          if (fleet == null && !root.has("routes")) {
+            throw new ConfigException("backend of " + service + " is fleet, and there is neither fleet nor routes");
+          }
+          return new Backend.Fleet(service);
+        }
+        default -> {
+          return new Backend.Uwsgi(NodeConfig.address(text.substring(UWSGI.length()), "backend of " + service));
+        }
       }
-      return NodeConfig.address(text.substring(UWSGI.length()), "backend of " + service);
     }
 
     /** The class of a contract: the node's own, one with other times, or a new one where a backend serves it. */
-    private int klass(String id, String kind, JsonNode c, InetSocketAddress backend) {
+    private int klass(String id, String kind, JsonNode c, Backend backend) {
       int known = classNames.indexOf(kind);
       if (known < 0 && backend == null) {
         throw new ConfigException("operation " + id + " has a class the runtime does not know: " + kind);
--- a/src/main/java/rosecleat/config/BrokerSchema.java
+++ b/src/main/java/rosecleat/config/BrokerSchema.java
@@ -41,7 +41,12 @@
 
   /** All findings in a file's text, in order of their lines; empty where it holds to the schema. */
   static List<String> findings(JsonNode root, String yaml) throws IOException {
-    JsonNode schema = JSON.readTree(text());
+    return findings(root, yaml, text());
+  }
+
+  /** The same of another schema. */
+  static List<String> findings(JsonNode root, String yaml, String schemaText) throws IOException {
+    JsonNode schema = JSON.readTree(schemaText);
     JsonSchema compiled = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(schema,
         SchemaValidatorsConfig.builder().pathType(PathType.JSON_POINTER).build());
     Map<String, Integer> lines = lines(yaml);
--- a/src/main/java/rosecleat/config/Descriptions.java
+++ b/src/main/java/rosecleat/config/Descriptions.java
@@ -23,8 +23,8 @@
 
 /** Reads what OpenAPI and AsyncAPI descriptions say of operations. The parsing is the libraries'. */
 final class Descriptions {
-  /** An operation as described: its name, how it is asked for, and what its answer is made of. */
-  record Described(String id, String method, String path, String contentType) { }
+  /** An operation as described: its name, how it is asked for, what its answer is made of, and one that it allows. */
+  record Described(String id, String method, String path, String contentType, byte[] sample) { }
 
   private static final String BYTES = "application/octet-stream";
 
@@ -45,7 +45,7 @@
     api.getPaths().forEach((path, item) -> item.readOperationsMap().forEach((method, operation) -> {
       if (operation.getOperationId() != null) {
         found.add(new Described(operation.getOperationId(), method.name().toUpperCase(Locale.ROOT), base + path,
-            contentType(operation)));
+            contentType(operation), sample(operation, api)));
       }
     }));
     return found;
@@ -69,6 +69,12 @@
         : answer.getContent().keySet().iterator().next();
   }
 
+  private static byte[] sample(Operation operation, OpenAPI api) {
+    var answer = operation.getResponses() == null ? null : operation.getResponses().get("200");
+    return answer == null || answer.getContent() == null || answer.getContent().isEmpty() ? new byte[0]
+        : Samples.of(answer.getContent().values().iterator().next(), api.getComponents());
+  }
+
   /**
    * The operations of an AsyncAPI description (3.0) by which the described application receives messages: a
    * message is sent by a POST to the address of its channel.
@@ -89,7 +95,8 @@
     for (Map.Entry<String, Object> entry : api.getOperations().entrySet()) {
       if (entry.getValue() instanceof com.asyncapi.v3._0_0.model.operation.Operation operation
           && operation.getAction() == OperationAction.RECEIVE) {
-        found.add(new Described(entry.getKey(), "POST", address(api, operation.getChannel(), file), type));
+        found.add(new Described(entry.getKey(), "POST", address(api, operation.getChannel(), file), type,
+            new byte[0]));
       }
     }
     return found;
--- a/src/main/java/rosecleat/config/NodeConfig.java
+++ b/src/main/java/rosecleat/config/NodeConfig.java
@@ -15,7 +15,7 @@
 /**
  * What one card node is told at its start.
  *
- * <p>{@code mgmt}, {@code roster}, {@code index} and {@code runtime} are null where the file does not name them;
+ * <p>{@code listen} is null where no platform's balancers come; {@code mgmt}, {@code roster}, {@code index} and {@code runtime} are null where the file does not name them;
  * {@code file} is what was read.
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress mgmt,
@@ -80,7 +80,7 @@
    */
   public void checkAfter(NodeConfig before) {
     ConfigCheck.sameKeys(before.file, file, "");
-    if (!name.equals(before.name) || !listen.equals(before.listen) || !Objects.equals(mgmt, before.mgmt)
+    if (!name.equals(before.name) || !Objects.equals(listen, before.listen) || !Objects.equals(mgmt, before.mgmt)
         || (runtime == null) != (before.runtime == null)) {
       throw new ConfigException("its name, where it listens and whether it has a runtime need a restart");
     }
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -50,7 +50,7 @@
   private int most;
   private final Set<Peer> peers = new LinkedHashSet<>();
 
-  /** A front that {@link #listen} opens; at most {@code most} connections are open at a time. */
+  /** A front that {@link #listen} opens, where it is told an address; at most {@code most} connections are open at a time. */
   public RespFront(EventLoop loop, InetSocketAddress at, int most, Core core, Names names, LongSupplier clock,
       Log log) {
     this.loop = loop;
@@ -65,7 +65,7 @@
 
   /** Listens for balancers from now on, beside any other process of this node that does. */
   public void listen() throws IOException {
-    if (listener == null) {
+    if (listener == null && at != null) {
       listener = new Listener(loop, at, most, limits(Runtime.getRuntime().maxMemory(), most), this::adopt, true);
     }
   }
--- a/src/main/java/rosecleat/front/uwsgi/Requests.java
+++ b/src/main/java/rosecleat/front/uwsgi/Requests.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import rosecleat.config.Backend;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.BrokerConfig.Operation;
 import rosecleat.core.Ask;
@@ -30,11 +31,13 @@
   private Routes routes;
   private final Runner runtime;
   private final Runner backends;
+  private final SampleRunner samples;
   private final List<String> teams = new ArrayList<>();
   private final SplittableRandom random;
   private final ObjectMapper json = new ObjectMapper();
 
-  Requests(BrokerConfig config, Runner runtime, Runner backends, long seed) {
+  Requests(BrokerConfig config, Runner runtime, Runner backends, SampleRunner samples, long seed) {
+    this.samples = samples;
     use(config);
     this.runtime = runtime;
     this.backends = backends;
@@ -44,6 +47,7 @@
   void use(BrokerConfig fresh) {
     config = fresh;
     routes = new Routes(fresh.operations());
+    samples.use(fresh.operations());
   }
 
   Outcome read(UwsgiPacket packet, long nowUs, Front front) {
@@ -91,8 +95,8 @@
     Ask ask = new Ask(id(), nowUs, waitUs, operation.klass(), operation.kind(), tenant, caller(team),
         packet.var(config.vars().retry()).equals("1"), operation.kb(), operation.rank(),
         operation.keyed() ? key : null, 0, body,
-        operation.backend() == null ? Map.of() : passedOn(packet, operation),
-        operation.backend() == null ? runtime : backends, front);
+        operation.backend() == null ? Map.of() : passedOn(packet, operation, nowUs),
+        operation.backend() == null ? runtime : operation.backend() instanceof Backend.Sample ? samples : backends, front);
     return new Outcome(ask, operation, null);
   }
 
@@ -121,11 +125,17 @@
     return URLDecoder.decode(text, StandardCharsets.UTF_8);
   }
 
-  private static Map<String, String> passedOn(UwsgiPacket packet, Operation operation) {
+  private static Map<String, String> passedOn(UwsgiPacket packet, Operation operation, long nowUs) {
     Map<String, String> vars = new HashMap<>(packet.vars());
     vars.remove("CONTENT_LENGTH"); // the client writes its own
     vars.put("REQUEST_METHOD", operation.method()); // a HEAD is asked for by its GET
-    vars.put(UwsgiRunner.BACKEND, operation.backend().getHostString() + ":" + operation.backend().getPort());
+    vars.put(UwsgiRunner.OPERATION, operation.id());
+    if (operation.backend() instanceof Backend.Uwsgi uwsgi) {
+      vars.put(UwsgiRunner.BACKEND, uwsgi.at().getHostString() + ":" + uwsgi.at().getPort());
+    } else if (operation.backend() instanceof Backend.Fleet fleet) {
+      vars.put(UwsgiRunner.SERVICE, fleet.service());
+      vars.put(UwsgiRunner.UNTIL, Long.toString(nowUs + operation.windowUs()));
+    }
     return vars;
   }
 
--- /dev/null
+++ b/src/main/java/rosecleat/front/uwsgi/SampleRunner.java
@@ -0,0 +1,64 @@
+package rosecleat.front.uwsgi;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import rosecleat.config.Backend;
+import rosecleat.config.BrokerConfig.Operation;
+import rosecleat.core.Ask;
+import rosecleat.core.Core;
+import rosecleat.core.Runner;
+import rosecleat.net.EventLoop;
+
+/** Answers with the description's example after a while, so that a broker can be tried without any service. */
+public final class SampleRunner implements Runner {
+  private final EventLoop loop;
+  private final Core core;
+  private final Map<String, Future<?>> runs = new HashMap<>();
+  private Map<String, Backend.Sample> samples = Map.of();
+
+  /** A runner that has no examples yet. */
+  public SampleRunner(EventLoop loop, Core core) {
+    this.loop = loop;
+    this.core = core;
+  }
+
+  /** The examples in force. */
+  void use(List<Operation> operations) {
+    Map<String, Backend.Sample> fresh = new HashMap<>();
+    for (Operation operation : operations) {
+      if (operation.backend() instanceof Backend.Sample sample) {
+        fresh.put(operation.id(), sample);
+      }
+    }
+    samples = Map.copyOf(fresh);
+  }
+
+  @Override public void start(Ask ask, long dueUs) {
+    Backend.Sample sample = samples.get(ask.attributes().get(UwsgiRunner.OPERATION));
+    if (sample == null) { // its operation is no sample any more
+      loop.execute(() -> core.ended(ask.id(), End.UNREACHED, null, 0));
+      return;
+    }
+    byte[] reply = new ServiceReply(200, List.of(new ServiceReply.Header("Content-Type", sample.contentType())),
+        sample.body()).result();
+    runs.put(ask.id(), loop.after(sample.tookUs(), () -> {
+      runs.remove(ask.id());
+      core.counters().add("sample.runs");
+      core.ended(ask.id(), End.OK, reply, sample.tookUs());
+    }));
+  }
+
+  @Override public void stop(String id) {
+    Future<?> run = runs.remove(id);
+    if (run != null) {
+      run.cancel(false);
+      loop.execute(() -> core.ended(id, End.HALTED, null, 0));
+    }
+  }
+
+  @Override public void give(String id, byte[] reply) { }
+
+  @Override public void omit(String id, long notice) { }
+}
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.LongSupplier;
+import rosecleat.config.Backend;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.BrokerConfig.Operation;
 import rosecleat.core.Answer;
@@ -35,20 +36,22 @@
   private final LongSupplier clock;
   private final Log log;
   private final Requests requests;
+  private final Instances instances;
   private Listener listener;
   private final Set<Caller> callers = new LinkedHashSet<>();
   private long replying;
 
   /** A front that {@link #listen} opens; requests run on the runtime or on uwsgi backends. */
-  public UwsgiFront(EventLoop loop, BrokerConfig config, Core core, Runner runtime, Runner backends,
+  public UwsgiFront(EventLoop loop, BrokerConfig config, Core core, Runner runtime, Runner backends, Instances instances,
       LongSupplier clock, Log log, long seed) {
+    this.instances = instances;
     this.loop = loop;
     this.config = config;
     this.core = core;
     this.clock = clock;
     this.log = log;
     counters = core.counters();
-    requests = new Requests(config, runtime, backends, seed);
+    requests = new Requests(config, runtime, backends, new SampleRunner(loop, core), seed);
   }
 
   /** Listens where the broker's file says, beside any other process of this node that does. */
@@ -202,6 +205,12 @@
         reply(HttpReply.words(503, Map.of("Retry-After", Long.toString(seconds), "X-Progress",
             word(Progress.NOT_SENT)), "turned away"), PLAIN);
       } else if (answer instanceof Answer.Failed failed) {
+        if (failed.fault().progress().neverRan() && operation.backend() instanceof Backend.Fleet fleet
+            && instances.none(fleet.service())) { // not a broken backend: there is none
+          reply(HttpReply.words(503, Map.of("Retry-After", "1", "X-Progress", word(Progress.NOT_SENT)),
+              "no instance of " + fleet.service() + " takes requests"), PLAIN);
+          return;
+        }
         int status = switch (failed.cause()) {
           case CALLER -> 400;
           case TIME -> 504;
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.LongSupplier;
 import rosecleat.core.Ask;
@@ -16,9 +17,14 @@
 
 /** The uwsgi client: runs requests on uwsgi backends, a connection each. How a run ended is what is proven. */
 public final class UwsgiRunner implements Runner {
-  /** The attribute that names a request's backend. */
+  /** The attributes that name a request's backend, or the service whose instances run it; and its operation. */
   static final String BACKEND = "rosecleat.backend";
+  static final String SERVICE = "rosecleat.service";
+  static final String OPERATION = "rosecleat.operation";
+  /** The end of its key's window. */
+  static final String UNTIL = "rosecleat.until";
 
+  private static final Set<String> OURS = Set.of(BACKEND, SERVICE, OPERATION, UNTIL);
   private static final long DIAL_US = 1_000_000;
   /** A run is given up so long after its answer was due (us). */
   private static final long LATE_US = 1_000_000;
@@ -28,10 +34,12 @@
   private final LongSupplier clock;
   private final Counters counters;
   private final int replyBytes;
+  private final Instances instances;
   private final Map<String, Run> runs = new HashMap<>();
 
-  /** A client whose backends' replies may be so long. */
-  public UwsgiRunner(EventLoop loop, Core core, LongSupplier clock, int replyBytes) {
+  /** A client whose backends' replies may be so long; the backends of some services are {@code instances}. */
+  public UwsgiRunner(EventLoop loop, Core core, LongSupplier clock, int replyBytes, Instances instances) {
+    this.instances = instances;
     this.loop = loop;
     this.core = core;
     this.clock = clock;
@@ -44,10 +52,12 @@
     runs.put(ask.id(), run);
     run.timer = loop.after(dueUs + LATE_US - run.startedUs, run::late);
     Connection.Limits limits = new Connection.Limits(8 << 10, 64 << 10, 1 << 20, 5_000_000);
-    String backend = ask.attributes().get(BACKEND);
-    int colon = backend.lastIndexOf(':');
-    Connection.dial(loop, new InetSocketAddress(backend.substring(0, colon),
-        Integer.parseInt(backend.substring(colon + 1))), DIAL_US, limits, run);
+    InetSocketAddress at = run.place();
+    if (at == null) { // told like any other end, not inside the order
+      loop.execute(() -> run.end(End.UNREACHED, null));
+      return;
+    }
+    Connection.dial(loop, at, DIAL_US, limits, run);
   }
 
   @Override public void stop(String id) {
@@ -69,11 +79,27 @@
     private Connection connection;
     private Future<?> timer;
     private boolean over;
+    private Instances.Lease lease;
+    private int received = -1;
 
     Run(Ask ask) {
       this.ask = ask;
     }
 
+    /** Where it runs, chosen now: since it arrived instances may have come and gone. Null for nowhere. */
+    private InetSocketAddress place() {
+      Map<String, String> known = ask.attributes();
+      String service = known.get(SERVICE);
+      if (service != null) {
+        lease = instances.lease(new Instances.Run(service, known.get(OPERATION), ask.once(),
+            ask.once() == null ? 0 : Long.parseLong(known.get(UNTIL)), ask.body().length), startedUs);
+        return lease == null ? null : lease.address();
+      }
+      String backend = known.get(BACKEND);
+      int colon = backend.lastIndexOf(':');
+      return new InetSocketAddress(backend.substring(0, colon), Integer.parseInt(backend.substring(colon + 1)));
+    }
+
     @Override public void connected(Connection fresh) {
       if (over) {
         fresh.close("stopped before it was sent");
@@ -92,7 +118,7 @@
 
     private Map<String, String> vars() {
       Map<String, String> vars = new HashMap<>(ask.attributes());
-      vars.remove(BACKEND);
+      vars.keySet().removeAll(OURS);
       vars.put("CONTENT_LENGTH", Integer.toString(ask.body().length));
       vars.put("HTTP_X_REQUEST_ID", ask.id());
       vars.put("HTTP_X_DEADLINE_MS",
@@ -126,6 +152,7 @@
     private void finished() {
       ServiceReply reply = parser.reply();
       counters.add("backend.status." + reply.status() / 100 + "xx");
+      received = reply.body().length;
       end(End.OK, reply.result());
     }
 
@@ -144,7 +171,11 @@
         connection.close("its run is over");
       }
       counters.add("backend." + how.name().toLowerCase(java.util.Locale.ROOT));
-      core.ended(ask.id(), how, result, clock.getAsLong() - startedUs);
+      long tookUs = clock.getAsLong() - startedUs;
+      if (lease != null) {
+        lease.ended(how, tookUs, received);
+      }
+      core.ended(ask.id(), how, result, tookUs);
     }
   }
 }
--- a/src/main/java/rosecleat/mgmt/Door.java
+++ b/src/main/java/rosecleat/mgmt/Door.java
@@ -23,7 +23,9 @@
   public static final int SOCKETS = PLACES + 1;
   /** A call must be whole so long after its caller connected (us). */
   private static final long PATIENCE_US = 6_000_000;
-  private static final Connection.Limits LIMITS = new Connection.Limits(2 << 10, 8 << 10, 16 << 10, 1_000_000);
+  private static final Connection.Limits LIMITS = new Connection.Limits(2 << 10, 8 << 10, 33 << 20, 5_000_000);
+  /** A view takes so many bytes at the most. */
+  private static final int LONGEST_VIEW = 32 << 20;
   private static final Map<Integer, String> REASONS = Map.of(200, "OK", 400, "Bad Request", 404, "Not Found", 405,
       "Method Not Allowed", 408, "Request Timeout", 413, "Content Too Large", 431, "Request Header Fields Too Large",
       501, "Not Implemented", 503, "Service Unavailable", 505, "HTTP Version Not Supported");
@@ -72,10 +74,18 @@
           : operations.ready() ? new Reply(200, "{\"ready\":true}") : new Reply(503, "{\"ready\":false}");
       case "/v1/card-node/drain" -> told(call, operations::drain, "{\"clients\":\"sent away\"}");
       case "/v1/card-node/activate" -> told(call, operations::activate, "{\"clients\":\"taken\"}");
-      default -> new Reply(404, "{\"error\":\"no such path\"}");
+      default -> seen(call);
     };
   }
 
+  private Reply seen(HttpCall call) {
+    String body = operations.view(call.target());
+    return body == null ? new Reply(404, "{\"error\":\"no such path\"}")
+        : !call.method().equals("GET") ? notAllowed("GET")
+        : body.length() > LONGEST_VIEW ? new Reply(503, "{\"error\":\"too much to be told in one answer\"}")
+        : new Reply(200, body);
+  }
+
   private static Reply told(HttpCall call, Runnable what, String body) {
     if (!call.method().equals("PUT")) {
       return notAllowed("PUT");
--- a/src/main/java/rosecleat/mgmt/Operations.java
+++ b/src/main/java/rosecleat/mgmt/Operations.java
@@ -10,4 +10,9 @@
 
   /** Takes clients again. */
   void activate();
+
+  /** What is to be seen at a path, as JSON in ASCII; null where there is nothing. */
+  default String view(String path) {
+    return null;
+  }
 }
--- a/src/main/java/rosecleat/node/Node.java
+++ b/src/main/java/rosecleat/node/Node.java
@@ -10,9 +10,7 @@
 import rosecleat.core.Counters;
 import rosecleat.core.Runner;
 import rosecleat.front.resp.RespFront;
-import rosecleat.front.uwsgi.Instances;
 import rosecleat.front.uwsgi.UwsgiFront;
-import rosecleat.front.uwsgi.UwsgiRunner;
 import rosecleat.handover.Handover;
 import rosecleat.index.IndexClient;
 import rosecleat.log.Log;
@@ -57,6 +55,7 @@
   private final Handover handover;
   private final Shares shares;
   private final Learning learning;
+  private final Sharing sharing;
   private boolean listening;
   private boolean shared;
   private Leaving leaving;
@@ -66,16 +65,17 @@
 
   /** A node on a loop of its own; {@code broker} is null where there is no second front. */
   Node(NodeConfig config, BrokerConfig broker, Log log) throws IOException {
-    this(config, broker, new EventLoop(log), null, new Counters(), null, log);
+    this(config, broker, new EventLoop(log), null, new Counters(), null, null, log);
   }
 
   /**
    * A node on a loop that something else may use too; {@code others} is null where it is its only process, and
-   * {@code learning} where it keeps nothing.
+   * {@code learning} where it keeps nothing, {@code sharing} where it shares nothing.
    */
   Node(NodeConfig config, BrokerConfig broker, EventLoop loop, Handover others, Counters counters, Learning learning,
-      Log log) throws IOException {
+      Sharing sharing, Log log) throws IOException {
     this.config = config;
+    this.sharing = sharing;
     this.learning = learning;
     this.log = log;
     this.loop = loop;
@@ -95,9 +95,12 @@
       runner = runtime == null ? new NoRuntime(loop, core) : runtime;
       roster = new RosterClient(loop, config.roster(), config.name(), counters, log);
       resp = new RespFront(loop, config.listen(), 1, core, numbering.names(runner), clock, log);
-      uwsgi = broker == null ? null : new UwsgiFront(loop, numbering.broker(), core, runner,
-          new UwsgiRunner(loop, core, clock, broker.limits().replyBytes(), Instances.EMPTY), Instances.EMPTY, clock, log, ~config.seed());
+      uwsgi = broker == null ? null
+          : SecondFront.of(loop, numbering.broker(), core, runner, sharing, clock, log, ~config.seed());
       fronts = new Fronts(resp, uwsgi);
+      if (sharing != null) {
+        loop.execute(() -> sharing.pools().tell(this::room));
+      }
       makeRoom();
       handover.keepLate(core.longestDueUs());
       if (!handover.predecessorLives()) {
@@ -174,6 +177,9 @@
       whenLeft = done;
       log.info("told to leave" + (handsOver ? " by a newer process that takes over, " : ", ") + core.inHand()
           + " in hand");
+      if (sharing != null) {
+        sharing.depart();
+      }
       counters.add(handsOver ? "leaves.handover" : "leaves.drain");
       if (learning != null && handsOver) {
         learning.memory().leave(clock.getAsLong()); // the newer process takes the folder over
@@ -216,6 +222,9 @@
       if (learning != null) {
         learning.use(setup.broker().state());
       }
+      if (sharing != null) {
+        sharing.use(setup.broker().routes());
+      }
       if (runtime != null) {
         runtime.moveTo(fresh.runtime());
       }
@@ -294,11 +303,21 @@
 
   /** Waits until what was learnt is written down, so long at the most (ms); for any thread. */
   void settle(long mostMs) {
+    if (sharing != null) {
+      sharing.leave(mostMs);
+    }
     if (learning != null && !learning.memory().close(mostMs)) {
       log.warn("what was learnt last could not be written down in time");
     }
   }
 
+  /** The instances have changed: the module hears how many requests they work on at once. */
+  private void room() {
+    numbering.places(sharing.pools().places());
+    shares.retune(List.of(), leaving != null);
+    core.use(numbering.rules());
+  }
+
   /** The settings in force, with this process's part of the limits; for use on the node's thread. */
   PolicyApi.Settings limits() {
     return shares.limits();
@@ -330,6 +349,9 @@
     if (learning != null) {
       learning.memory().close(SETTLE_MS);
     }
+    if (sharing != null) {
+      sharing.close();
+    }
     loop.close();
     handover.close();
   }
--- a/src/main/java/rosecleat/node/Numbering.java
+++ b/src/main/java/rosecleat/node/Numbering.java
@@ -8,6 +8,7 @@
 import java.util.function.IntPredicate;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.SettingsReader;
+import rosecleat.config.Standalone;
 import rosecleat.core.Core;
 import rosecleat.core.Numbers;
 import rosecleat.core.Runner;
@@ -28,6 +29,7 @@
   private Setup setup;
   private SettingsReader.Start start;
   private List<String> classKeys;
+  private int places;
 
   /** Takes files for the first time. */
   Numbering(Setup setup) {
@@ -57,7 +59,18 @@
     for (int n = 0; n < names.size(); n++) {
       shares.add(names.get(n) == null ? new PolicyApi.Tenant(0) : tenants.terms().get(n));
     }
-    return start.settings().with(classes.terms().stream().map(Term::grade).toList(), List.copyOf(shares));
+    return inRoom().with(classes.terms().stream().map(Term::grade).toList(), List.copyOf(shares));
+  }
+
+  /** The instances in force work on so many requests at once. */
+  void places(int now) {
+    places = now;
+  }
+
+  /** The settings with the room that there is: where all work is done elsewhere, its limit begins at the places there. */
+  private PolicyApi.Settings inRoom() {
+    int own = setup.broker() == null ? -1 : setup.broker().ownRoom();
+    return own < 0 ? start.settings() : Standalone.with(start.settings(), Math.max(1, own + places));
   }
 
   /** The names of the gauges, in the order they come. */
@@ -67,7 +80,7 @@
 
   /** What the core works under. */
   Core.Rules rules() {
-    PolicyApi.Settings s = start.settings();
+    PolicyApi.Settings s = inRoom();
     return new Core.Rules(s.cores(), classes.terms().stream().map(Numbering::klass).toList(), tenants.names(),
         s.slackUs(), s.graceUs(), s.idleUs(), RESULT_BYTES);
   }
--- a/src/main/java/rosecleat/node/Operators.java
+++ b/src/main/java/rosecleat/node/Operators.java
@@ -6,10 +6,13 @@
 /** What operators asked of a node, kept from before it stands. For the loop. */
 final class Operators implements Operations {
   private final Handover handover;
+  private final Sharing sharing;
   private Node node;
 
-  Operators(Handover handover) {
+  /** {@code sharing} is null where the process shares nothing. */
+  Operators(Handover handover, Sharing sharing) {
     this.handover = handover;
+    this.sharing = sharing;
   }
 
   /** The node stands; it follows what was asked before, and in its other processes. */
@@ -29,6 +32,10 @@
     set(false);
   }
 
+  @Override public String view(String path) {
+    return sharing == null ? null : sharing.view(path);
+  }
+
   private void set(boolean aside) {
     handover.drain(aside);
     if (node != null) {
--- a/src/main/java/rosecleat/node/Reload.java
+++ b/src/main/java/rosecleat/node/Reload.java
@@ -37,8 +37,11 @@
         reload(); // its only method is handle(Signal); nobody compares or prints a handler
         return null;
       });
-      signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-          taking);
+      Object before = signal.getMethod("handle", signal, handler).invoke(null,
+          signal.getConstructor(String.class).newInstance("HUP"), taking);
+      if (before == handler.getField("SIG_IGN").get(null)) { // the virtual machine leaves it so: nohup's children never hear it
+        log.warn("SIGHUP is ignored, as whoever started this process left it: it can't be told to reload");
+      }
     } catch (ReflectiveOperationException e) {
       log.warn("SIGHUP is not handled here: " + e);
     }
--- a/src/main/java/rosecleat/node/Serving.java
+++ b/src/main/java/rosecleat/node/Serving.java
@@ -41,7 +41,9 @@
     EventLoop loop = new EventLoop(log);
     Counters counters = new Counters();
     Handover handover = new Handover(shared, counters, log);
-    Operators operators = new Operators(handover);
+    Sharing sharing = setup.broker() == null || setup.broker().fleet() == null && setup.broker().routes() == null ? null
+        : new Sharing(setup.broker(), loop, counters, log);
+    Operators operators = new Operators(handover, sharing);
     if (config.mgmt() != null) { // open before the warm-up: operators may ask how far it is
       new Door(loop, config.mgmt(), operators, counters, log);
       log.info("operators are heard at " + config.mgmt());
@@ -50,7 +52,7 @@
     if (config.runtime() != null) {
       Warmup.play(config);
     }
-    Node node = new Node(config, setup.broker(), loop, handover, counters, learning, log);
+    Node node = new Node(config, setup.broker(), loop, handover, counters, learning, sharing, log);
     Serving serving = new Serving(node, log);
     new Thread(serving::stay, "stay").start();
     Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
--- a/src/main/java/rosecleat/node/Setup.java
+++ b/src/main/java/rosecleat/node/Setup.java
@@ -15,6 +15,10 @@
         || broker.connections() != before.broker.connections() || !broker.limits().equals(before.broker.limits()))) {
       throw new ConfigException("where the second front listens and its limits need a restart");
     }
+    if (broker != null && (!Objects.equals(broker.fleet(), before.broker.fleet())
+        || (broker.routes() == null) != (before.broker.routes() == null))) {
+      throw new ConfigException("its part in the fleet, and whether it publishes routes, need a restart");
+    }
     if (broker != null && !Objects.equals(folder(), before.folder())) {
       throw new ConfigException("the folder of state needs a restart");
     }
--- /dev/null
+++ b/src/main/java/rosecleat/node/Sharing.java
@@ -0,0 +1,295 @@
+package rosecleat.node;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonWriteFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import rosecleat.config.BrokerConfig;
+import rosecleat.config.FleetConfig;
+import rosecleat.config.RoutesFile;
+import rosecleat.core.Counters;
+import rosecleat.fleet.Endpoint;
+import rosecleat.fleet.Fleet;
+import rosecleat.fleet.FleetRecord;
+import rosecleat.fleet.View;
+import rosecleat.fleet.link.FleetTask;
+import rosecleat.log.Log;
+import rosecleat.net.EventLoop;
+import rosecleat.routes.Book;
+import rosecleat.routes.Entry;
+import rosecleat.routes.Follow;
+import rosecleat.routes.Instance;
+import rosecleat.routes.Table;
+
+/**
+ * What a process shares with its fleet, put in the node's terms. Loaded only where the broker's file has a section
+ * {@code fleet} or {@code routes}: the platform forbids talk among nodes. The book of routes belongs to the fleet's task,
+ * or, where there is no fleet, to the node's loop; the loop gets whole tables.
+ */
+final class Sharing {
+  private static final String ROUTES = "routes";
+  private static final int ROUTES_EXCHANGE = 2;
+  /** What an author wrote last, so that a restart with an old file is known for one. */
+  private static final String FILE = "routes.file";
+  private static final long ROUTES_TTL_MS = 60_000;
+  private static final long FILE_TTL_MS = 30L * 24 * 3_600_000;
+  /** An author waits so many periods to hear what others published since its file was written. */
+  private static final int LISTEN = 4;
+  private static final ObjectMapper JSON = JsonMapper.builder().enable(JsonWriteFeature.ESCAPE_NON_ASCII).build();
+
+  /** A table with its generation in this process. */
+  private record InForce(Table table, long generation) { }
+
+  private final FleetTask task;
+  private final FleetConfig settings;
+  private final EventLoop loop;
+  private final Log log;
+  private final Map<String, String> routesOf = new ConcurrentHashMap<>();
+  private final Map<String, String> heldBy = new HashMap<>();
+  private final Book book = new Book();
+  private final Pools pools;
+  private volatile InForce inForce = new InForce(Table.EMPTY, 0);
+  private RoutesFile waiting;
+  private boolean following;
+  private boolean told;
+
+  /** Begins to share as a broker's file says. */
+  Sharing(BrokerConfig broker, EventLoop loop, Counters counters, Log log) throws IOException {
+    this.loop = loop;
+    this.log = log;
+    settings = broker.fleet();
+    pools = new Pools(settings == null ? "" : settings.zone());
+    if (settings == null) {
+      task = null;
+      take(broker.routes());
+      return;
+    }
+    task = new FleetTask(new FleetTask.Settings(settings.name(), settings.cluster(), settings.listen(),
+        settings.advertise(), settings.zone(), settings.seeds(), settings.periodUs()), new FleetTask.Hearer() {
+          @Override public void changed(View view) { }
+
+          @Override public void recorded(FleetRecord record) {
+            heard(record);
+          }
+
+          @Override public void counted(String what, long more) {
+            loop.execute(() -> counters.add("fleet." + what, more));
+          }
+        }, log);
+    task.answer(ROUTES_EXCHANGE, () -> follow(false));
+    task.start();
+    log.info("fleet: " + task.view().self() + " listens at " + task.at());
+    task.post(fleet -> tell(fleet));
+    if (broker.routes() != null) {
+      waiting = broker.routes();
+      loop.after(settings.seeds().isEmpty() ? 0 : LISTEN * settings.periodUs(), () -> task.post(this::publish));
+    }
+    again();
+  }
+
+  /** What was missed, or broke, is looked for again. */
+  private void again() {
+    loop.after(settings.periodUs(), () -> {
+      if (task.post(this::catchUp)) {
+        again();
+      }
+    });
+  }
+
+  // ---- on the fleet's task
+
+  private Follow follow(boolean opener) {
+    return new Follow(book, opener, settings.cluster(), () -> fleetNews, this::changed, () -> following = opener ? false : following);
+  }
+
+  private rosecleat.fleet.wire.MemberNews fleetNews;
+
+  private void heard(FleetRecord record) {
+    if (!record.kind().equals(ROUTES)) {
+      return;
+    }
+    if (record.payload() == null) {
+      routesOf.remove(record.owner());
+      heldBy.remove(record.owner());
+      return;
+    }
+    String[] digests = new String(record.payload(), StandardCharsets.US_ASCII).split(":");
+    if (digests.length == 2) {
+      routesOf.put(record.owner(), digests[0]);
+      heldBy.put(record.owner(), digests[1]);
+      if (!digests[1].equals(hex(book.holds()))) {
+        task.post(this::catchUp);
+      }
+    }
+  }
+
+  /** Asks one that holds something else, one at a time: whoever told it last. */
+  private void catchUp(Fleet fleet) {
+    fleetNews = fleet.news();
+    String mine = hex(book.holds());
+    if (following) {
+      return;
+    }
+    for (Map.Entry<String, String> other : heldBy.entrySet()) {
+      Endpoint at = other.getValue().equals(mine) ? null : fleet.reach(other.getKey());
+      if (at != null) {
+        following = task.meet(ROUTES_EXCHANGE, at, follow(true));
+        if (following) {
+          return;
+        }
+      }
+    }
+  }
+
+  private void changed() {
+    InForce fresh = new InForce(book.table(), book.generation());
+    inForce = fresh;
+    loop.execute(() -> pools.use(fresh.table.services()));
+    log.info("routes: " + hex(fresh.table.digest()) + " is in force");
+    if (task != null) {
+      task.post(this::tell);
+    }
+  }
+
+  private void tell(Fleet fleet) {
+    fleetNews = fleet.news();
+    String payload = hex(book.table().digest()) + ":" + hex(book.holds());
+    routesOf.put(fleet.self().name(), hex(book.table().digest()));
+    fleet.publish(ROUTES, "", payload.getBytes(StandardCharsets.US_ASCII), ROUTES_TTL_MS, task.nowUs());
+    catchUp(fleet);
+  }
+
+  /** Writes the file that waits, unless it is what this author wrote last: others may have written since. */
+  private void publish(Fleet fleet) {
+    RoutesFile file = waiting;
+    waiting = null;
+    if (file == null) {
+      return;
+    }
+    String digest = Integer.toHexString(file.hashCode());
+    boolean old = false;
+    for (FleetRecord record : fleet.records(FILE)) {
+      old |= record.owner().equals(fleet.self().name()) && new String(record.payload(), StandardCharsets.US_ASCII).equals(digest);
+    }
+    if (old && !told) {
+      log.info("routes: the file is what this process published before: what others published since stays");
+    } else {
+      take(file);
+    }
+    told = true;
+    fleet.publish(FILE, "", digest.getBytes(StandardCharsets.US_ASCII), FILE_TTL_MS, task.nowUs());
+  }
+
+  private void take(RoutesFile file) {
+    Map<Entry.Key, Instance> all = new HashMap<>();
+    for (RoutesFile.Line line : file.instances()) {
+      all.put(new Entry.Key(line.service(), line.name()), new Instance(line.at().getAddress().getHostAddress(),
+          line.at().getPort(), line.zone(), line.weight(), Instance.State.valueOf(line.state().toUpperCase(Locale.ROOT)),
+          line.places()));
+    }
+    if (book.publish(settings == null ? "" : settings.name(), all)) {
+      changed();
+    }
+  }
+
+  // ---- on the loop
+
+  /** A file of routes read anew, checked already; null where none is published. */
+  void use(RoutesFile fresh) {
+    if (fresh == null) {
+      return;
+    }
+    if (task == null) {
+      take(fresh);
+    } else {
+      task.post(fleet -> {
+        waiting = fresh;
+        publish(fleet);
+      });
+    }
+  }
+
+  /** The instances in force, for the loop. */
+  Pools pools() {
+    return pools;
+  }
+
+  /** What operators see at a path; null where there is nothing of it. */
+  String view(String path) {
+    return switch (path) {
+      case "/v1/fleet" -> task == null ? null : text(fleet(task.view()));
+      case "/v1/routes" -> text(routes(inForce));
+      default -> null;
+    };
+  }
+
+  private ObjectNode fleet(View view) {
+    ObjectNode root = JSON.createObjectNode();
+    root.put("self", view.self().name()).put("settled", view.settled()).put("digest", hex(view.digest()));
+    ArrayNode members = root.putArray("members");
+    for (View.Seen seen : view.members()) {
+      members.addObject().put("name", seen.id().name()).put("zone", seen.zone())
+          .put("state", seen.state().name().toLowerCase(Locale.ROOT)).put("epoch", seen.id().epoch())
+          .put("incarnation", seen.incarnation()).put("routes", routesOf.getOrDefault(seen.id().name(), ""));
+    }
+    return root;
+  }
+
+  private static ObjectNode routes(InForce now) {
+    ObjectNode root = JSON.createObjectNode();
+    root.put("generation", now.generation).put("digest", hex(now.table.digest()));
+    ObjectNode services = root.putObject("services");
+    now.table.services().forEach((service, instances) -> {
+      ObjectNode all = services.putObject(service).putObject("instances");
+      instances.forEach((name, i) -> {
+        ObjectNode one = all.putObject(name).put("address", "uwsgi://" + i.host() + ":" + i.port()).put("zone", i.zone())
+            .put("weight", i.weight()).put("state", i.state().name().toLowerCase(Locale.ROOT));
+        if (i.places() > 0) {
+          one.put("places", i.places());
+        }
+      });
+    });
+    return root;
+  }
+
+  static String hex(long digest) {
+    return String.format("%016x", digest);
+  }
+
+  private static String text(ObjectNode root) {
+    try {
+      return JSON.writeValueAsString(root);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e); // a tree of texts and figures
+    }
+  }
+
+  /** The process goes: its fleet is told at once, while it still serves what it holds. */
+  void depart() {
+    if (task != null) {
+      task.post(fleet -> fleet.leave(task.nowUs()));
+    }
+  }
+
+  /** The process ends: its fleet is told, and waited for so long at the most (ms). */
+  void leave(long mostMs) {
+    if (task != null) {
+      task.leave(mostMs);
+    }
+  }
+
+  /** Ends at once. */
+  void close() {
+    if (task != null) {
+      task.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/rosecleat/pool/package-info.java
@@ -0,0 +1,2 @@
+/** Which instance of a service takes a request: decisions on what is out at each, free of input and output. */
+package rosecleat.pool;
--- a/src/test/java/rosecleat/ArchitectureTest.java
+++ b/src/test/java/rosecleat/ArchitectureTest.java
@@ -25,7 +25,7 @@
 
   @Test void theCoreKnowsNoFrontAndNoNetwork() {
     hold(noClasses().that().resideInAnyPackage(packages("core", "policy")).should().dependOnClassesThat()
-        .resideInAnyPackage(packages("front", "net", "runtime", "index", "roster", "mgmt", "cli", "config", "benchlink",
+        .resideInAnyPackage(packages("front", "net", "runtime", "index", "roster", "mgmt", "cli", "node", "config", "benchlink",
             "state", "store", "knowledge")));
     hold(noClasses().that().resideInAnyPackage(packages("core", "policy")).should().dependOnClassesThat()
         .resideInAnyPackage("java.nio.channels..", "java.net.."));
@@ -46,8 +46,31 @@
         .resideInAnyPackage("rosecleat.knowledge..", "java.lang..", "java.util.."));
   }
 
+  @Test void theViewOfTheFleetIsFreeOfInputAndOutputAndItsTaskKnowsNoNode() {
+    hold(classes().that().resideInAPackage("rosecleat.fleet").should().onlyDependOnClassesThat()
+        .resideInAnyPackage("rosecleat.fleet", "rosecleat.fleet.wire..", "java.lang..", "java.util..", "java.nio", "java.nio.charset..",
+            "com.google.protobuf.."));
+    hold(classes().that().resideInAPackage("rosecleat.fleet.link..").should().onlyDependOnClassesThat()
+        .resideInAnyPackage("rosecleat.fleet..", "rosecleat.log..", "java.."));
+  }
+
+  @Test void routesAndPoolsDecideWithoutInputAndOutput() {
+    hold(classes().that().resideInAPackage("rosecleat.routes").should().onlyDependOnClassesThat()
+        .resideInAnyPackage("rosecleat.routes..", "rosecleat.fleet", "rosecleat.fleet.wire..", "java.lang..", "java.util..",
+            "java.nio", "java.nio.charset..", "java.security..", "com.google.protobuf.."));
+    hold(classes().that().resideInAPackage("rosecleat.pool..").should().onlyDependOnClassesThat()
+        .resideInAnyPackage("rosecleat.pool..", "java.lang..", "java.util.."));
+  }
+
+  @Test void nothingKnowsTheCommandLineAndOnlyThatKnowsTheProcess() {
+    hold(noClasses().that().resideOutsideOfPackage("rosecleat.cli..").should().dependOnClassesThat()
+        .resideInAPackage("rosecleat.cli.."));
+    hold(noClasses().that().resideOutsideOfPackages("rosecleat.cli..", "rosecleat.node..").should().dependOnClassesThat()
+        .resideInAPackage("rosecleat.node.."));
+  }
+
   @Test void whatANodeKeepsKnowsNoWire() {
     hold(noClasses().that().resideInAPackage("rosecleat.state..").should().dependOnClassesThat()
-        .resideInAnyPackage(packages("front", "net", "runtime", "index", "roster", "mgmt", "cli", "config", "benchlink")));
+        .resideInAnyPackage(packages("front", "net", "runtime", "index", "roster", "mgmt", "cli", "node", "config", "benchlink")));
   }
 }
--- a/src/test/java/rosecleat/config/BrokerSchemaTest.java
+++ b/src/test/java/rosecleat/config/BrokerSchemaTest.java
@@ -38,7 +38,7 @@
 
   @Test void aMisspeltKeyIsRefusedWithItsLineAndTheNearestKnown() throws IOException {
     String message = refusal("  connections: 128", "  conections: 128");
-    assertTrue(message.contains("line 5: /uwsgi has no key conections; did you mean connections?"), message);
+    assertTrue(message.contains("line 10: /uwsgi has no key conections; did you mean connections?"), message);
     message = refusal("effect: pure}", "efect: pure}");
     assertTrue(message.contains("has no key efect; did you mean effect?"), message);
     message = refusal("services:", "state: {folder: x, every_sm: 5}\nservices:");
@@ -54,7 +54,7 @@
 
   @Test void aFigureOutOfRangeIsRefused() throws IOException {
     assertTrue(refusal("packet_bytes: 16384", "packet_bytes: 70000").contains("/uwsgi/limits/packet_bytes"));
-    assertTrue(refusal("backend: runtime ", "backend: tcp://x ").contains("/services/cards/backend"));
+    assertTrue(refusal("backend: sample ", "backend: tcp://x ").contains("/services/cards/backend"));
     assertTrue(refusal("effect: token", "effect: maybe").contains("/services/loads/contract/receiveLoad/effect"));
   }
 }
--- /dev/null
+++ b/src/test/java/rosecleat/measure/RoutesSpeed.java
@@ -0,0 +1,98 @@
+package rosecleat.measure;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import rosecleat.fleet.wire.MemberNews;
+import rosecleat.routes.Book;
+import rosecleat.routes.Entry;
+import rosecleat.routes.Follow;
+import rosecleat.routes.Instance;
+import rosecleat.routes.Table;
+
+/** What docs/measurements/routes.md keeps: what a change in a large table costs against the whole of it. */
+public final class RoutesSpeed {
+  private static final MemberNews SELF = MemberNews.getDefaultInstance();
+  private static final int ROUNDS = 21;
+
+  private RoutesSpeed() { }
+
+  public static void main(String[] args) {
+    for (int size : new int[] {1_000, 10_000, 100_000}) {
+      for (int changes : new int[] {1, 10, 100, 1_000}) {
+        row(size, changes);
+      }
+    }
+  }
+
+  private static void row(int size, int changes) {
+    Book author = new Book();
+    Map<Entry.Key, Instance> file = new HashMap<>();
+    for (int i = 0; i < size; i++) {
+      file.put(new Entry.Key("service" + i % 100, "instance" + i), instance(i, 0));
+    }
+    author.publish("a", file);
+    Book follower = new Book();
+    int whole = meet(follower, author);
+    long[] diff = new long[ROUNDS];
+    long[] full = new long[ROUNDS];
+    long[] apply = new long[ROUNDS];
+    int bytes = 0;
+    for (int round = 1; round <= ROUNDS; round++) {
+      Table before = author.table();
+      for (int i = 0; i < changes; i++) {
+        file.put(new Entry.Key("service" + i % 100, "instance" + i), instance(i, round));
+      }
+      author.publish("a", file);
+      Table after = author.table();
+      diff[round - 1] = time(() -> before.diff(after).size());
+      full[round - 1] = time(() -> compare(before, after));
+      long begun = System.nanoTime();
+      bytes = meet(follower, author);
+      apply[round - 1] = System.nanoTime() - begun;
+    }
+    Arrays.sort(diff);
+    Arrays.sort(full);
+    Arrays.sort(apply);
+    System.out.printf(Locale.ROOT, "%d entries, %d changes: diff %.3f ms, whole comparison %.3f ms (%.0fx), told and applied %.3f ms, "
+        + "%d bytes, whole table %d bytes (%.0fx)%n", size, changes, diff[ROUNDS / 2] / 1e6, full[ROUNDS / 2] / 1e6,
+        (double) full[ROUNDS / 2] / diff[ROUNDS / 2], apply[ROUNDS / 2] / 1e6, bytes, whole, (double) whole / bytes);
+  }
+
+  private static Instance instance(int i, int round) {
+    return new Instance("10.0." + i % 250 + "." + round % 250, 1 + i % 60_000, "zone" + i % 3, 1, Instance.State.ON, 4);
+  }
+
+  /** The baseline: both tables as maps, each key looked up. */
+  private static long compare(Table before, Table after) {
+    Map<String, Map<String, Instance>> a = before.services();
+    Map<String, Map<String, Instance>> b = after.services();
+    long differ = 0;
+    for (Map.Entry<String, Map<String, Instance>> service : b.entrySet()) {
+      Map<String, Instance> old = a.getOrDefault(service.getKey(), Map.of());
+      for (Map.Entry<String, Instance> each : service.getValue().entrySet()) {
+        differ += each.getValue().equals(old.get(each.getKey())) ? 0 : 1;
+      }
+    }
+    return differ;
+  }
+
+  private static long time(LongSupplier what) {
+    long begun = System.nanoTime();
+    if (what.getAsLong() < 0) {
+      throw new IllegalStateException();
+    }
+    return System.nanoTime() - begun;
+  }
+
+  /** An exchange; returns the bytes of the answer. */
+  private static int meet(Book one, Book other) {
+    Follow opener = new Follow(one, true, "c", () -> SELF, () -> { }, () -> { });
+    Follow answers = new Follow(other, false, "c", () -> SELF, () -> { }, () -> { });
+    byte[] told = answers.next(opener.next(null, 0), 0);
+    opener.next(told, 0);
+    return told.length;
+  }
+}
--- a/src/test/java/rosecleat/node/LinksTest.java
+++ b/src/test/java/rosecleat/node/LinksTest.java
@@ -416,10 +416,10 @@
   @Test void whatOperatorsSayReachesHealthChecksAloneAndEndsWithTheirWord() throws IOException {
     Counters counters = new Counters();
     Handover handover = new Handover(null, counters, log);
-    Operators operators = new Operators(handover);
+    Operators operators = new Operators(handover, null);
     operators.drain(); // before the node stands
     node = new Node(TestSite.config(runtime.port(), index.port(), roster.port(), 2_000, 500), null, new EventLoop(log),
-        handover, counters, null, log);
+        handover, counters, null, null, log);
     node.start();
     node.onLoop(() -> operators.serve(node));
     client = new RespClient(node.port(), null);
--- a/src/test/java/rosecleat/node/MemoryTest.java
+++ b/src/test/java/rosecleat/node/MemoryTest.java
@@ -67,7 +67,7 @@
     Counters counters = new Counters();
     BrokerConfig broker = Rig.broker(folder, backend.port(), config, STATE);
     Node fresh = new Node(config, broker, new EventLoop(log), new Handover(shared, counters, log), counters,
-        Learning.of(broker, log), log);
+        Learning.of(broker, log), null, log);
     fresh.start();
     return fresh;
   }
@@ -182,7 +182,7 @@
     BrokerConfig broker = Rig.broker(folder, backend.port(), config(), "\nstate: {folder: kept, every_ms: 3600000}\n");
     Counters counters = new Counters();
     node = new Node(config(), broker, new EventLoop(log), new Handover(null, counters, log), counters,
-        Learning.of(broker, log), log);
+        Learning.of(broker, log), null, log);
     node.start();
     await(() -> count(node, "state.opened") == 1 && ask(node, Core::ready));
     serve(node, 12);
@@ -245,8 +245,8 @@
     command.environment().put("PROXY_CONFIG", "deploy/example.json");
     assertEquals(0, command.start().waitFor());
     List<String> classes = Files.readAllLines(loaded);
-    assertTrue(classes.stream().anyMatch(l -> l.contains("rosecleat.cli.Node ")));
+    assertTrue(classes.stream().anyMatch(l -> l.contains("rosecleat.node.Node ")));
     assertFalse(classes.stream().anyMatch(
-        l -> l.matches(".*(rosecleat\\.(store|state|knowledge)\\.|rosecleat\\.cli\\.(Learning|StateCommands)|com\\.(google\\.protobuf|networknt)).*")));
+        l -> l.matches(".*(rosecleat\\.(store|state|knowledge)\\.|rosecleat\\.(cli\\.StateCommands|node\\.Learning)|com\\.(google\\.protobuf|networknt)).*")));
   }
 }
--- a/src/test/java/rosecleat/node/UpgradeTest.java
+++ b/src/test/java/rosecleat/node/UpgradeTest.java
@@ -45,7 +45,7 @@
         .replace("127.0.0.1:0", "127.0.0.1:" + port);
     Counters counters = new Counters();
     Node node = new Node(NodeConfig.parse(file, Map.of()), null, new EventLoop(log),
-        new Handover(folder, counters, log), counters, null, log);
+        new Handover(folder, counters, log), counters, null, null, log);
     node.start();
     return node;
   }
--- /dev/null
+++ b/src/test/java/rosecleat/rig/Site.java
@@ -0,0 +1,254 @@
+package rosecleat.rig;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+/** Several processes of the program on loopback, each linked to the others through relays; named n0, n1, ... */
+public final class Site implements AutoCloseable {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  /** Words of all the sites' files; a service with a keyed operation and two reads. */
+  private static final String DESCRIPTION = """
+      openapi: 3.0.3
+      info: {title: cards, version: "1"}
+      paths:
+        /cheap: {get: {operationId: cheap, responses: {"200": {description: ok}}}}
+        /dear: {get: {operationId: dear, responses: {"200": {description: ok}}}}
+        /loads: {post: {operationId: load, responses: {"200": {description: ok}}}}
+      """;
+
+  public final int size;
+  public final int periodMs;
+  final Links links;
+  private final Path folder;
+  private final Process[] processes;
+  private final int[] fleetPorts;
+  private final int[] toldPorts;
+  private final int[] doors;
+  private final int[] fronts;
+  private final String more;
+
+  /** Processes with these further lines in their files; not started yet. */
+  public Site(Path folder, int size, int periodMs, String more) throws IOException {
+    this.folder = folder;
+    this.size = size;
+    this.periodMs = periodMs;
+    this.more = more;
+    processes = new Process[size];
+    int[] ports = ports(4 * size);
+    fleetPorts = java.util.Arrays.copyOfRange(ports, 0, size);
+    toldPorts = java.util.Arrays.copyOfRange(ports, size, 2 * size);
+    doors = java.util.Arrays.copyOfRange(ports, 2 * size, 3 * size);
+    fronts = java.util.Arrays.copyOfRange(ports, 3 * size, 4 * size);
+    links = new Links(fleetPorts, toldPorts);
+    Files.writeString(folder.resolve("api.yaml"), DESCRIPTION);
+    for (int i = 0; i < size; i++) {
+      configure(i, "n" + i, seeds(i), i == 0 ? "routes: {file: routes.yaml}\n" : "");
+    }
+  }
+
+  /** Ports that nothing listens at. */
+  static int[] ports(int count) throws IOException {
+    List<ServerSocket> held = new ArrayList<>();
+    try {
+      for (int i = 0; i < count; i++) {
+        held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+      }
+      return held.stream().mapToInt(ServerSocket::getLocalPort).toArray();
+    } finally {
+      for (ServerSocket each : held) {
+        each.close();
+      }
+    }
+  }
+
+  private String seeds(int i) {
+    return String.join(", ", IntStream.range(0, Math.min(3, size)).mapToObj(k -> "\"127.0.0.1:" + toldPorts[k] + "\"").toList());
+  }
+
+  /** Writes a process's file; it takes effect at its next start. */
+  public void configure(int i, String name, String seeds, String sections) throws IOException {
+    Files.writeString(folder.resolve("n" + i + ".yaml"), """
+        name: %s
+        limits: {memory_mb: 64}
+        operators: {listen: "127.0.0.1:%d"}
+        fleet: {cluster: test, listen: "127.0.0.1:%d", advertise: "127.0.0.1:%d", zone: z%d, seeds: [%s], period_ms: %d}
+        uwsgi: {listen: "127.0.0.1:%d", connections: 512}
+        descriptions: [{openapi: api.yaml}]
+        services:
+          cards:
+            backend: fleet
+            contract:
+              cheap: {class: cheap, aim_ms: 500, deadline_ms: 3000, effect: pure}
+              dear: {class: dear, aim_ms: 1500, deadline_ms: 3000, effect: pure}
+              load: {class: load, aim_ms: 1500, deadline_ms: 3000, effect: token, window_ms: 20000}
+            budget: {till: {quota_per_s: 1000}}
+        %s%s""".formatted(name, doors[i], fleetPorts[i], toldPorts[i], i % 3, seeds, periodMs, fronts[i], sections, more));
+  }
+
+  /** Writes the file of routes that n0 publishes; {@code lines} are instances. */
+  public void routes(String lines) throws IOException {
+    Path fresh = folder.resolve("routes.new");
+    Files.writeString(fresh, "services:\n  cards:\n    instances: {" + lines + "}\n");
+    Files.move(fresh, folder.resolve("routes.yaml"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  /** Starts processes by number. */
+  public void start(int... which) throws IOException {
+    for (int i : which) {
+      processes[i] = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx48m", "-XX:-UsePerfData",
+          "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
+          "rosecleat.cli.Main", "serve", "--broker", folder.resolve("n" + i + ".yaml").toString())
+          .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log(i).toFile())).start();
+    }
+  }
+
+  /** Starts all. */
+  public Site startAll() throws IOException {
+    start(IntStream.range(0, size).toArray());
+    return this;
+  }
+
+  private Path log(int i) {
+    return folder.resolve("n" + i + ".log");
+  }
+
+  /** All lines that a process wrote. */
+  public String logOf(int i) {
+    try {
+      return Files.readString(log(i));
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  /** Sends a signal: KILL, TERM, STOP, CONT or HUP. */
+  public void signal(int i, String name) throws Exception {
+    new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + processes[i].pid()).start().waitFor();
+    if (name.equals("KILL")) {
+      processes[i].waitFor();
+    }
+  }
+
+  long pid(int i) {
+    return processes[i].pid();
+  }
+
+  public boolean lives(int i) {
+    return processes[i] != null && processes[i].isAlive();
+  }
+
+  public int front(int i) {
+    return fronts[i];
+  }
+
+  public int fleetPort(int i) {
+    return fleetPorts[i];
+  }
+
+  public String toldAt(int i) {
+    return "127.0.0.1:" + toldPorts[i];
+  }
+
+  /** What the operators' door of a process shows; a missing node where it does not answer. */
+  public JsonNode see(int i, String path) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), doors[i])) {
+      socket.setSoTimeout(3_000);
+      socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+      String reply = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      return JSON.readTree(reply.substring(reply.indexOf("\r\n\r\n") + 4));
+    } catch (IOException | RuntimeException e) {
+      return JSON.missingNode();
+    }
+  }
+
+  /** How a process holds another; empty where it does not know it. The one with the greatest epoch. */
+  public String state(int at, String name) {
+    String state = "";
+    for (JsonNode member : see(at, "/v1/fleet").path("members")) {
+      state = member.path("name").asText().equals(name) ? member.path("state").asText() : state;
+    }
+    return state;
+  }
+
+  public long epoch(int at, String name) {
+    long epoch = 0;
+    for (JsonNode member : see(at, "/v1/fleet").path("members")) {
+      epoch = member.path("name").asText().equals(name) ? member.path("epoch").asLong() : epoch;
+    }
+    return epoch;
+  }
+
+  /** Whether these processes hold exactly one another for alive, and are settled with one digest. */
+  public boolean settled(int... which) {
+    String digest = null;
+    for (int i : which) {
+      JsonNode view = see(i, "/v1/fleet");
+      int alive = 0;
+      for (JsonNode member : view.path("members")) {
+        alive += member.path("state").asText().equals("alive") ? 1 : 0;
+      }
+      if (!view.path("settled").asBoolean() || alive != which.length
+          || digest != null && !digest.equals(view.path("digest").asText())) {
+        return false;
+      }
+      digest = view.path("digest").asText();
+    }
+    return true;
+  }
+
+  public int[] all() {
+    return IntStream.range(0, size).toArray();
+  }
+
+  public int[] but(int... without) {
+    return IntStream.range(0, size).filter(i -> IntStream.of(without).noneMatch(w -> w == i)).toArray();
+  }
+
+  /** Waits for something; fails with what was wanted and what all show. */
+  public void await(String what, int seconds, BooleanSupplier holds) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    while (!holds.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        StringBuilder seen = new StringBuilder();
+        for (int i = 0; i < size; i++) {
+          seen.append("\nn").append(i).append(": ").append(see(i, "/v1/fleet")).append(see(i, "/v1/routes")).append(logOf(i).lines().limit(6).toList());
+        }
+        throw new AssertionError(what + " did not come to be:" + seen);
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+  }
+
+  /** The whole fleet is up and settled. */
+  public Site awaitSettled(int... which) throws InterruptedException {
+    await("settled", 20, () -> settled(which));
+    return this;
+  }
+
+  /** These hold one another for alive and are settled, whatever else they know. */
+  public Site awaitSettledSide(int alive, int... which) throws InterruptedException {
+    await("a side settled", 60, () -> settled(which) && which.length == alive);
+    return this;
+  }
+
+  @Override public void close() {
+    for (Process process : processes) {
+      if (process != null) {
+        process.destroyForcibly();
+      }
+    }
+    links.close();
+  }
+}
--- a/src/test/java/rosecleat/standin/UwsgiBackend.java
+++ b/src/test/java/rosecleat/standin/UwsgiBackend.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A team's uwsgi service: reads a request, then does what the test says. */
@@ -16,6 +18,8 @@
   public volatile Mood mood = Mood.GOOD;
   public volatile int bytes = 10;
   public volatile String lastPacket = "";
+  /** How often each key was run. */
+  public final Map<String, Integer> runs = new ConcurrentHashMap<>();
   /** Sent as it stands, where it is not empty. */
   public volatile String script = "";
 
@@ -26,10 +30,15 @@
     in.readByte();
     byte[] block = new byte[size];
     in.readFully(block);
-    lastPacket = new String(block, StandardCharsets.ISO_8859_1);
+    String lastPacket = new String(block, StandardCharsets.ISO_8859_1);
+    this.lastPacket = lastPacket;
     int at = lastPacket.indexOf("CONTENT_LENGTH") + 16; // behind the name come two bytes of length
     in.readFully(new byte[Integer.parseInt(lastPacket.substring(at, at + lastPacket.charAt(at - 2)))]);
     requests.incrementAndGet();
+    int key = lastPacket.indexOf("HTTP_IDEMPOTENCY_KEY") + 22; // the same
+    if (key > 22) {
+      runs.merge(lastPacket.substring(key, key + lastPacket.charAt(key - 2)), 1, Integer::sum);
+    }
     if (!script.isEmpty()) {
       socket.getOutputStream().write(script.getBytes(StandardCharsets.ISO_8859_1));
       return;
--- a/src/test/java/rosecleat/store/StoreTest.java
+++ b/src/test/java/rosecleat/store/StoreTest.java
@@ -198,7 +198,7 @@
     long acknowledged = -1;
     for (int i = 0; i < times; i++) {
       Process child = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-          "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
+          "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xshare:auto", "-XX:-UsePerfData", "-cp", System.getProperty("java.class.path"),
           StoreTest.class.getName(), own.toString()).redirectError(ProcessBuilder.Redirect.INHERIT).start();
       try (java.io.BufferedReader out = child.inputReader()) {
         String first = out.readLine();
