--- a/src/main/java/rosecleat/node/Sharing.java
+++ b/src/main/java/rosecleat/node/Sharing.java
@@ -98,9 +98,8 @@
   /** What was missed, or broke, is looked for again. */
   private void again() {
     loop.after(settings.periodUs(), () -> {
-      if (task.post(this::catchUp)) {
-        again();
-      }
+      task.post(this::catchUp); // where its mailbox is full now, the next time does
+      again();
     });
   }
 
