Know an author's file by what it holds, and count an ended exchange as ended

Seen on reading the change again: a file of routes was known by 32 bits of hashCode, where one in four billion would be silently not published; it is known by its table's digest now, the mechanism that stands.

Checked: RoutesTest with real processes, BookTest, ArchitectureTest pass.

--- a/src/main/java/rosecleat/fleet/link/FleetTask.java
+++ b/src/main/java/rosecleat/fleet/link/FleetTask.java
@@ -76,7 +76,6 @@
     final int kind;
     Dialogue dialogue;
     long movedUs;
-    boolean last;
 
     Conversation(SocketChannel channel, int kind, Dialogue dialogue, long nowUs) {
       this.channel = channel;
@@ -427,8 +426,9 @@
         }
       }
     } catch (IOException | CancelledKeyException e) {
-      count(c.last ? "exchanges" : "exchange.broken");
-      end(key, c, !c.last);
+      // the opener of an exchange ends it between two frames: only one that still waits for an answer was broken off
+      count(!c.opened && c.frames.between() ? "exchanges" : "exchange.broken");
+      end(key, c, true);
     }
   }
 
--- a/src/main/java/rosecleat/fleet/link/Frames.java
+++ b/src/main/java/rosecleat/fleet/link/Frames.java
@@ -32,6 +32,11 @@
     return kind;
   }
 
+  /** Whether nothing of a further frame has come, and nothing waits to be written. */
+  boolean between() {
+    return length < 0 && head.position() == 0 && out == null;
+  }
+
   /** Reads on; a whole frame, or null where more must come. Throws where the connection ended or lies. */
   byte[] read(ByteBuffer scratch) throws IOException {
     while (true) {
--- a/src/main/java/rosecleat/node/Sharing.java
+++ b/src/main/java/rosecleat/node/Sharing.java
@@ -173,7 +173,9 @@
     if (file == null) {
       return;
     }
-    String digest = Integer.toHexString(file.hashCode());
+    Book written = new Book(); // a file is known by what it holds, as a table is
+    written.publish("", entries(file));
+    String digest = hex(written.table().digest());
     boolean old = false;
     for (FleetRecord record : fleet.records(FILE)) {
       old |= record.owner().equals(fleet.self().name()) && new String(record.payload(), StandardCharsets.US_ASCII).equals(digest);
@@ -188,15 +190,19 @@
   }
 
   private void take(RoutesFile file) {
+    if (book.publish(settings == null ? "" : settings.name(), entries(file))) {
+      changed();
+    }
+  }
+
+  private static Map<Entry.Key, Instance> entries(RoutesFile file) {
     Map<Entry.Key, Instance> all = new HashMap<>();
     for (RoutesFile.Line line : file.instances()) {
       all.put(new Entry.Key(line.service(), line.name()), new Instance(line.at().getAddress().getHostAddress(),
           line.at().getPort(), line.zone(), line.weight(), Instance.State.valueOf(line.state().toUpperCase(Locale.ROOT)),
           line.places()));
     }
-    if (book.publish(settings == null ? "" : settings.name(), all)) {
-      changed();
-    }
+    return all;
   }
 
   // ---- on the loop
