Close a peer's connection in one way: hear, answer, write, tell the end, then close

Seen, by reading and then by tests with a loop held still until the peer has acted: a request that had arrived when its connection was closed got no answer, nor did one that ran while its connection was shut out for mistakes, or one that stood whole behind the 64th mistake or in front of bytes without sense; half a line of a balancer that had been told BYE met a close a second later, and its rest a reset; a newcomer whose first bytes were under way was "unused" where all others were busy; a time-out that crossed a connect handed its owner a closed connection; a listener that closed after half a quiet second reset what waited unaccepted for a place; shutOutput could run twice.

Lines at fault: Connection.close/end (closed at once, queue dropped), Connection.received (threw away what came while closing), RespFront.closeIfLeft (no look at parser.begun), RespFront.failed and Malformed, Listener.makeRoom (aborted, and took the youngest), Listener.closeIfQuiet, Connection.dial's timer.

Change: a connection's life is one state machine (open, closing, half-closed, closed). closeGracefully() hears and writes on until nothing is owed, queued or just arrived, then tells the end once and reads until the peer has closed; abort() is left for peers that take nothing and for links of ours that carry nothing. Listener.makeRoom tells its victims the end, passes over silent ones younger than 250 ms, looks again every 50 ms while it is full, and aborts only those that were told 100 ms ago and never closed. closeWhenQuiet takes all that waits before it shuts. A node that leaves tells every connection the end 300 ms before it would be killed, instead of leaving them to the exit. HandOver says BYE towards the end also where its socket can't be shut as all places are taken.

Two tests are changed, and are stricter: RespModelTest.broken wanted the runs of a spoilt connection stopped, which left read requests unanswered; it now wants each answered and then an end in order (or, where the balancer goes first, the stops as before). BadClientsTest counted answers and took a reset for an end; it now reads words and an orderly end.

--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -36,8 +36,10 @@
   private static final long PATIENCE_US = 2_200_000;
   /** One that has is an honest sender, if a slow one. */
   private static final long HONEST_US = 10_000_000;
-  /** Mistakes that a connection may make in a row; a balancer that knows a class too few still sends others. */
+  /** Mistakes in a row after which a connection is asked to close; a balancer that knows a class too few still sends others. */
   private static final int MOST_ERRORS = 64;
+  /** After so many nothing more is heard on it. */
+  private static final int DEAF_ERRORS = 2 * MOST_ERRORS;
 
   private final Core core;
   private final Counters counters;
@@ -110,9 +112,17 @@
     return (int) peers.stream().filter(peer -> peer.parser.begun()).count();
   }
 
-  /** Accepts no further connection, once none has come for so long; true when none can come any more. */
+  /** Accepts what waits and then nothing more, once no connection has come for so long; true when none can come. */
   public boolean stopListening(long quietUs) {
-    return listener == null || listener.closeIfQuiet(quietUs);
+    return listener == null || listener.closeWhenQuiet(quietUs);
+  }
+
+  /** Ends every connection in order, as soon as nothing is owed on it; half a message is not waited for. */
+  public void closeAll() {
+    for (Peer peer : new ArrayList<>(peers)) {
+      peer.impatient = true;
+      peer.connection.closeGracefully();
+    }
   }
 
   /** Accepts what waits, and then nothing more; true when none can come any more. */
@@ -155,15 +165,22 @@
     private int errors;
     private boolean checks;
     private long leavingUs;
+    /** What comes makes no sense: nothing more is heard, and what was read before is still answered. */
+    private boolean deaf;
+    /** Half a message is not waited for. */
+    private boolean impatient;
 
     Peer(Connection connection) {
       this.connection = connection;
     }
 
     @Override public void received(ByteBuffer bytes) {
+      if (deaf) {
+        return;
+      }
       usedUs = clock.getAsLong();
       try {
-        for (List<byte[]> words = parser.next(bytes); words != null && !connection.isClosed();
+        for (List<byte[]> words = parser.next(bytes); words != null && !deaf && !connection.isClosed();
             words = parser.next(bytes)) {
           spoke = true;
           partSinceUs = 0;
@@ -173,10 +190,16 @@
       } catch (RespParser.Malformed e) { // guards the rest: one stream that makes no sense ends alone
         counters.add("resp.malformed");
         log.warn("a balancer's connection is closed: " + e.getMessage());
-        connection.close(e.getMessage());
+        deaf = true;
+        shutOut();
       }
     }
 
+    /** Half a message is one that its sender may be about to finish: closing meanwhile would lose it. */
+    @Override public boolean owed() {
+      return !open.isEmpty() || parser.begun() && !deaf && !impatient;
+    }
+
     @Override public Connection.Use use() {
       return !open.isEmpty() || parser.begun() ? Connection.Use.BUSY
           : spoke ? Connection.Use.IDLE : Connection.Use.SILENT;
@@ -191,12 +214,16 @@
       open.clear();
     }
 
-    private void message(List<byte[]> words) throws RespParser.Malformed {
+    private void message(List<byte[]> words) {
       String word = words.get(0) == null ? "" : Fields.text(words.get(0));
       String number = words.size() < 2 || words.get(1) == null ? "" : Fields.text(words.get(1));
       long tag = Words.number(number, 18);
-      if (tag < 1) {
-        throw new RespParser.Malformed("a message with no readable tag");
+      if (tag < 1) { // it can't be answered; what is behind it can
+        counters.add("resp.malformed");
+        log.warn("a balancer's connection is closed: a message with no readable tag");
+        shutOut();
+        erred();
+        return;
       }
       switch (word) {
         case "DO" -> request(tag, words);
@@ -254,10 +281,22 @@
       log.warn("request " + tag + " of a balancer failed: " + why);
       connection.write(RespReplies.answer(tag, new Answer.Failed(
           new Fault(Progress.NOT_SENT, why), Answer.Cause.CALLER), core.credit()));
-      if (++errors >= MOST_ERRORS) { // guards the balancers: what floods the loop with mistakes is shut out
+      erred();
+    }
+
+    /** Guards the balancers: what floods the loop with mistakes is shut out, and one that goes on is heard no more. */
+    private void erred() {
+      if (++errors == MOST_ERRORS) {
         counters.add("resp.errant");
-        connection.closeWhenWritten();
+        shutOut();
       }
+      deaf |= errors >= DEAF_ERRORS;
+    }
+
+    /** Ends the connection in order: what was read well is answered first. */
+    private void shutOut() {
+      bye(usedUs);
+      connection.closeGracefully();
     }
 
     /**
@@ -266,10 +305,11 @@
      */
     private void closeIfSlow(long now) {
       long patienceUs = honest ? HONEST_US : PATIENCE_US;
-      if (open.isEmpty()
+      if (open.isEmpty() && !impatient && !deaf && !connection.isClosed()
           && (!spoke && now - bornUs > patienceUs || partSinceUs > 0 && now - partSinceUs > patienceUs)) {
         counters.add("resp.slow");
-        connection.close("no whole message came in time");
+        impatient = true;
+        connection.closeGracefully();
       }
     }
 
@@ -281,9 +321,10 @@
       }
     }
 
+    /** Its balancer was to close it: where it does not, the node does. */
     private void closeIfLeft(long now) {
-      if (leavingUs > 0 && open.isEmpty() && now - leavingUs > BYE_US && now - usedUs > BYE_US) {
-        connection.close("its balancer did not close it");
+      if (leavingUs > 0 && now - leavingUs > BYE_US && now - usedUs > BYE_US) {
+        connection.closeGracefully();
       }
     }
   }
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -90,9 +90,9 @@
     return replying;
   }
 
-  /** Accepts no further connection, once none has come for so long; true when none can come any more. */
+  /** Accepts what waits and then nothing more, once no connection has come for so long; true when none can come. */
   public boolean stopListening(long quietUs) {
-    return listener == null || listener.closeIfQuiet(quietUs);
+    return listener == null || listener.closeWhenQuiet(quietUs);
   }
 
   /** Closes the connections on which nothing of a request has come for so long. */
@@ -100,11 +100,16 @@
     long now = clock.getAsLong();
     for (Caller caller : new ArrayList<>(callers)) {
       if (!caller.parser.begun() && now - caller.acceptedUs >= quietUs) {
-        caller.connection.close("the node leaves");
+        caller.connection.closeGracefully();
       }
     }
   }
 
+  /** Ends every connection in order, as soon as nothing is owed on it. */
+  public void closeAll() {
+    callers.forEach(caller -> caller.connection.closeGracefully());
+  }
+
   private void adopt(Connection connection) {
     counters.add("uwsgi.connections");
     Caller caller = new Caller(connection);
@@ -135,7 +140,7 @@
     private void slow() {
       if (!taken) {
         counters.add("uwsgi.slow");
-        connection.close("the request did not come in time");
+        connection.closeGracefully();
       }
     }
 
@@ -151,8 +156,9 @@
       }
       UwsgiPacket packet = parser.packet();
       if (packet.modifier1() == UwsgiPacket.PING) {
+        answered = true;
         connection.write(ByteBuffer.wrap(new byte[] {UwsgiPacket.PING, 0, 0, 1}));
-        connection.closeWhenWritten();
+        connection.closeGracefully();
         return;
       }
       request(packet);
@@ -178,6 +184,10 @@
       return parser.begun() || taken ? Connection.Use.BUSY : Connection.Use.SILENT;
     }
 
+    @Override public boolean owed() {
+      return taken && !answered;
+    }
+
     @Override public void closed(Fault fault, boolean atEnd) {
       callers.remove(this);
       patience.cancel(false);
@@ -244,13 +254,14 @@
     }
 
     private void write(int status, ByteBuffer head, byte[] body) {
+      answered = true;
       counters.add("uwsgi.status." + status);
       if (connection.write(head) && body.length > 0 && !headOnly) {
         connection.write(ByteBuffer.wrap(body));
       }
-      connection.closeWhenWritten();
+      connection.closeGracefully();
       patience.cancel(false);
-      patience = loop.after(config.limits().replyUs(), () -> connection.close("the reply was not taken in time"));
+      patience = loop.after(config.limits().replyUs(), () -> connection.abort("the reply was not taken in time"));
     }
 
     private static Map<String, String> progress(Progress progress) {
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -102,7 +102,7 @@
 
     @Override public void connected(Connection fresh) {
       if (over) {
-        fresh.close("stopped before it was sent");
+        fresh.abort("stopped before it was sent");
         return;
       }
       connection = fresh;
@@ -168,7 +168,7 @@
       timer.cancel(false);
       runs.remove(ask.id());
       if (connection != null) {
-        connection.close("its run is over");
+        connection.abort("its run is over");
       }
       counters.add("backend." + how.name().toLowerCase(java.util.Locale.ROOT));
       long tookUs = clock.getAsLong() - startedUs;
--- a/src/main/java/rosecleat/index/Line.java
+++ b/src/main/java/rosecleat/index/Line.java
@@ -83,12 +83,12 @@
   void giveUp() {
     over = true;
     if (call == null) {
-      connection.close("unused"); // nothing is under way that a slow close would save, and descriptors are few
+      connection.abort("unused"); // nothing is under way that a slow close would save, and descriptors are few
       return;
     }
     connection.write(ByteBuffer.wrap(bytes("STOP " + call.id + "\r\n")));
     call = null;
-    connection.closeWhenWritten();
+    connection.closeGracefully();
   }
 
   @Override public void received(ByteBuffer bytes) {
@@ -118,7 +118,7 @@
     over = true;
     Call lost = call;
     call = null;
-    connection.close(why);
+    connection.abort(why);
     keeper.lost(this, lost, end, why);
   }
 
--- a/src/main/java/rosecleat/mgmt/Door.java
+++ b/src/main/java/rosecleat/mgmt/Door.java
@@ -121,7 +121,7 @@
     }
 
     @Override public void received(ByteBuffer bytes) {
-      if (call.take(bytes)) {
+      if (!answered && call.take(bytes)) { // what comes behind a call is no part of it
         answer(reply(call));
       }
     }
@@ -133,7 +133,7 @@
         log.warn("a call to the operators' door can't be read: " + reply.status);
       }
       connection.write(reply.bytes());
-      connection.closeWhenWritten();
+      connection.closeGracefully();
     }
 
     @Override public void closed(Fault fault, boolean atEnd) {
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -15,10 +15,27 @@
  * One connection: a read at a time, a write at a time, and a bounded queue of writes. Everything but the
  * bare completion handlers runs on the loop.
  *
+ * <p>Its life goes one way, {@link State}, and ends in one method. {@link #closeGracefully} is how a peer's connection
+ * is closed: what has come is heard and answered, what is queued is written, and only then the peer is told the end.
+ * {@link #abort} is for a peer that takes nothing, for one that is not heard any more, and for links of ours that
+ * carry nothing.
+ *
  * <p>Backpressure works by not reading: while more than a mark of bytes waits to be written, no read is
  * started.
  */
 public final class Connection {
+  /** The states of a connection, in their only order; each but the last may be left out. */
+  private enum State {
+    /** Bytes are heard and written. */
+    OPEN,
+    /** The same, but as soon as nothing is owed, queued or just arrived, the peer is told the end. */
+    CLOSING,
+    /** The peer was told the end: what still comes crossed it, is not heard, and is read only so that nothing is reset. */
+    HALF_CLOSED,
+    /** The socket is closed. */
+    CLOSED
+  }
+
   /** What is lost when a connection is closed. */
   public enum Use {
     /** Nothing: not one whole message has come. */
@@ -36,6 +53,11 @@
       return Use.BUSY;
     }
 
+    /** Whether something that has come is still to be answered: a connection that is closing waits for that. */
+    default boolean owed() {
+      return false;
+    }
+
     /** Bytes have come; all of them are to be taken. */
     void received(ByteBuffer bytes);
 
@@ -53,6 +75,8 @@
   private static final int PIECE = 16 << 10;
   /** How long a connection closed here waits for its peer to close, so that no answer is cut off (us). */
   private static final long LINGER_US = 1_000_000;
+  /** A peer has heard the end of a connection so long after it was told, or never will in useful time (ns). */
+  private static final long HEARD_NS = 100_000_000;
 
   private final EventLoop loop;
   private final AsynchronousSocketChannel channel;
@@ -63,11 +87,14 @@
   private int queued;
   private boolean reading;
   private boolean writing;
-  private boolean closing;
-  private boolean closed;
+  private State state = State.OPEN;
+  /** Set by the handler of a read, on its own thread, until the loop has taken what came. */
+  private volatile boolean arrived;
   private long written;
   private long touchedNs = System.nanoTime();
+  private long toldNs;
   private Future<?> stall;
+  private Future<?> linger;
 
   Connection(EventLoop loop, AsynchronousSocketChannel channel, Limits limits) {
     this.loop = loop;
@@ -90,7 +117,10 @@
     void failed(Fault fault);
   }
 
-  /** Connects to an address; the outcome comes once, on the loop. */
+  /**
+   * Connects to an address; the outcome comes once, on the loop. Guards against a time-out that crosses the connect: the
+   * one that reaches the loop first decides, so that no owner is given a connection that was closed meanwhile.
+   */
   public static void dial(EventLoop loop, InetSocketAddress to, long timeoutUs, Limits limits, Dialled outcome) {
     AsynchronousSocketChannel channel;
     try {
@@ -99,20 +129,45 @@
       loop.execute(() -> outcome.failed(new Fault(Progress.NOT_SENT, "no socket: " + e.getMessage())));
       return;
     }
-    Future<?> timer = loop.after(timeoutUs, () -> closeQuietly(channel));
-    try {
-      channel.connect(to, null, handler(loop, done -> {
-        timer.cancel(false);
-        outcome.connected(new Connection(loop, channel, limits));
-      }, e -> {
+    new Dial(loop, channel, outcome).begin(to, timeoutUs, limits);
+  }
+
+  /** An attempt to connect, until its outcome is told. */
+  private static final class Dial {
+    private final EventLoop loop;
+    private final AsynchronousSocketChannel channel;
+    private final Dialled outcome;
+    private Future<?> timer;
+    private boolean over;
+
+    Dial(EventLoop loop, AsynchronousSocketChannel channel, Dialled outcome) {
+      this.loop = loop;
+      this.channel = channel;
+      this.outcome = outcome;
+    }
+
+    void begin(InetSocketAddress to, long timeoutUs, Limits limits) {
+      timer = loop.after(timeoutUs, () -> fail("no answer in time"));
+      try {
+        channel.connect(to, null, handler(loop, done -> {
+          if (!over) {
+            over = true;
+            timer.cancel(false);
+            outcome.connected(new Connection(loop, channel, limits));
+          }
+        }, e -> fail(e.getMessage())));
+      } catch (RuntimeException e) { // an address that can't be used
+        loop.execute(() -> fail(e.toString()));
+      }
+    }
+
+    private void fail(String why) {
+      if (!over) {
+        over = true;
         timer.cancel(false);
         closeQuietly(channel);
-        outcome.failed(new Fault(Progress.NOT_SENT, "not connected: " + e.getMessage()));
-      }));
-    } catch (RuntimeException e) { // an address that can't be used
-      timer.cancel(false);
-      closeQuietly(channel);
-      loop.execute(() -> outcome.failed(new Fault(Progress.NOT_SENT, "not connected: " + e)));
+        outcome.failed(new Fault(Progress.NOT_SENT, "not connected: " + why));
+      }
     }
   }
 
@@ -140,14 +195,14 @@
     read();
   }
 
-  /** Whether the connection is over or about to be. */
+  /** Whether nothing can be written any more: its end was told, or has come. */
   public boolean isClosed() {
-    return closed || closing;
+    return state == State.HALF_CLOSED || state == State.CLOSED;
   }
 
   /** What is lost when it is closed now. */
   Use use() {
-    return owner == null || isClosed() || !queue.isEmpty() ? Use.BUSY : owner.use();
+    return owner == null || state != State.OPEN || !queue.isEmpty() ? Use.BUSY : owner.use();
   }
 
   /** When bytes last came or went, by the system's monotonic clock. */
@@ -155,7 +210,12 @@
     return touchedNs;
   }
 
-  /** Queues bytes; false, and the connection closed, where the queue has no room for them. */
+  /** Whether its peer was told the end long enough ago to have heard it, and has not closed in its turn. */
+  boolean lingers() {
+    return state == State.HALF_CLOSED && System.nanoTime() - toldNs >= HEARD_NS;
+  }
+
+  /** Queues bytes; false, and not one of them sent, where the connection is closed or its queue has no room for them. */
   public boolean write(ByteBuffer bytes) {
     if (isClosed()) {
       return false;
@@ -171,42 +231,55 @@
   }
 
   /**
-   * Closes once all that is queued has been written and the peer has closed in its turn, or a little later.
-   * What still comes in is thrown away: closing with bytes unread would reset the connection, and the peer
-   * could lose the answer.
+   * Closes as soon as nothing is owed to the peer and all that is queued has been written; until then whatever comes is
+   * heard. Then the peer is told the end, and the socket closes when the peer has closed in its turn, or a little later:
+   * closing with bytes unread would reset the connection, and the peer could lose the answer.
    */
-  public void closeWhenWritten() {
-    closing = true;
-    if (queue.isEmpty()) {
-      shutOutput();
+  public void closeGracefully() {
+    if (state == State.OPEN) {
+      state = State.CLOSING;
     }
-    read();
+    tellEnd();
   }
 
-  private void shutOutput() {
+  /** Tells the peer the end, once, and only in an instant at which nothing would be lost by it. */
+  private void tellEnd() {
+    if (state != State.CLOSING || !queue.isEmpty() || arrived || owner != null && owner.owed()) {
+      return; // what is lacking brings it here again: the end of a write, or of what has come
+    }
+    state = State.HALF_CLOSED;
+    toldNs = System.nanoTime();
     try {
       channel.shutdownOutput();
     } catch (IOException | RuntimeException e) {
       end(new Fault(Progress.SENT, "closed here"), false);
       return;
     }
-    loop.after(LINGER_US, () -> end(new Fault(Progress.SENT, "closed here"), false));
+    linger = loop.after(LINGER_US, () -> end(new Fault(Progress.SENT, "closed here"), false));
   }
 
-  /** Closes at once. */
-  public void close(String why) {
+  /** Closes at once: bytes that were not read or written are lost. */
+  public void abort(String why) {
     end(new Fault(queue.isEmpty() ? Progress.SENT : Progress.NOT_SENT, why), false);
   }
 
   private void read() {
-    if (reading || closed || owner == null || queued > limits.pauseAbove()) {
+    if (reading || state == State.CLOSED || owner == null || queued > limits.pauseAbove()) {
       return;
     }
     reading = true;
     input.clear();
     try {
-      channel.read(input, null, handler(loop, this::received,
-          e -> end(new Fault(Progress.SENT, "read failed: " + e.getMessage()), false)));
+      channel.read(input, null, new CompletionHandler<Integer, Void>() {
+        @Override public void completed(Integer count, Void none) {
+          arrived = true; // before the loop hears of it: no end is told meanwhile
+          loop.execute(() -> received(count));
+        }
+
+        @Override public void failed(Throwable e, Void none) {
+          loop.execute(() -> end(new Fault(Progress.SENT, "read failed: " + e.getMessage()), false));
+        }
+      });
     } catch (RuntimeException e) { // the channel was closed meanwhile
       end(new Fault(Progress.SENT, "read failed: " + e), false);
     }
@@ -214,7 +287,8 @@
 
   private void received(int count) {
     reading = false;
-    if (closed) {
+    arrived = false;
+    if (state == State.CLOSED) {
       return;
     }
     touchedNs = System.nanoTime();
@@ -224,7 +298,7 @@
     }
     input.flip();
     try {
-      if (!closing) {
+      if (state != State.HALF_CLOSED) {
         owner.received(input);
       }
     } catch (RuntimeException e) { // exceptions stop at the connection
@@ -232,11 +306,12 @@
       end(new Fault(Progress.SENT, "failed here: " + e + (trace.length == 0 ? "" : " at " + trace[0])), false);
     }
     read();
+    tellEnd();
   }
 
   private void flush() {
     ByteBuffer next = queue.peek();
-    if (writing || closed || next == null) {
+    if (writing || state == State.CLOSED || next == null) {
       return;
     }
     writing = true;
@@ -257,7 +332,7 @@
   /** Guards against a peer that takes nothing for a whole span while bytes wait for it. */
   private void stalled(long before) {
     stall = null;
-    if (closed || queue.isEmpty()) {
+    if (state == State.CLOSED || queue.isEmpty()) {
       return;
     }
     if (written == before) {
@@ -270,7 +345,7 @@
 
   private void wrote(int count) {
     writing = false;
-    if (closed) {
+    if (state == State.CLOSED) {
       return;
     }
     queued -= count;
@@ -286,25 +361,25 @@
         stall.cancel(false);
         stall = null;
       }
-      if (closing) {
-        shutOutput();
-        return;
-      }
     }
     flush();
     read();
+    tellEnd();
   }
 
   private void end(Fault fault, boolean atEnd) {
-    if (closed) {
+    if (state == State.CLOSED) {
       return;
     }
-    closed = true;
+    state = State.CLOSED;
     queue.clear();
     queued = 0;
     if (stall != null) {
       stall.cancel(false);
     }
+    if (linger != null) {
+      linger.cancel(false);
+    }
     closeQuietly(channel);
     if (owner != null) {
       loop.execute(() -> owner.closed(fault, atEnd)); // never inside the owner's own call
--- a/src/main/java/rosecleat/net/Listener.java
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -6,7 +6,10 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
@@ -17,10 +20,14 @@
 public final class Listener {
   private static final int BACKLOG = 1024;
   private static final long RETRY_US = 20_000;
-  /** A connection that has said nothing for so long is the first to go where places are short. */
+  /** A connection that has said nothing for so long is the first to go where places are short; a younger one may be about to. */
   private static final long SILENT_NS = 250_000_000;
   /** A call to accept that has stood for so long found nothing waiting. */
   private static final long ARMED_NS = 5_000_000;
+  /** So often it is looked again for a place, while none can be had (us). */
+  private static final long ROOM_US = 50_000;
+  /** Of all places, so many may be made free at once by closing connections that never said anything. */
+  private static final int MUTE_PART = 16;
 
   private final EventLoop loop;
   private final AsynchronousServerSocketChannel server;
@@ -30,6 +37,7 @@
   private int most;
   private final Set<Connection> open = new LinkedHashSet<>();
   private boolean waiting;
+  private boolean lookingForRoom;
   private boolean ending;
   private boolean closed;
   private volatile boolean come;
@@ -79,15 +87,16 @@
   /** A connection taken here has ended: its place is free again. */
   public void released(Connection ended) {
     open.remove(ended);
-    if (waiting && open.size() < most) {
-      waiting = false;
-      accept();
-    }
+    resume();
   }
 
   /** As many connections may be open from now on; those over it that are of use stay. */
   public void places(int fresh) {
     most = fresh;
+    resume();
+  }
+
+  private void resume() {
     if (waiting && open.size() < most) {
       waiting = false;
       accept();
@@ -112,14 +121,11 @@
   }
 
   /**
-   * Accepts nothing more, if no connection has come for so long; true once it is closed. Guards connections that
-   * the system has accepted and this program has not taken yet: closing the socket would reset them.
+   * The same, begun only once no connection has come for so long. Guards connections that the system has accepted and
+   * this program has not taken yet: closing the socket would reset them, with what they bring.
    */
-  public boolean closeIfQuiet(long quietUs) {
-    if (!closed && (System.nanoTime() - lastNs) / 1_000 >= quietUs) {
-      shut();
-    }
-    return closed;
+  public boolean closeWhenQuiet(long quietUs) {
+    return (closed || ending || (System.nanoTime() - lastNs) / 1_000 >= quietUs) && closeWhenEmpty();
   }
 
   private void accept() {
@@ -131,6 +137,7 @@
       if (!makeRoom()) {
         log.warn(open.size() + " connections are open and in use, no more are accepted");
       }
+      lookAgain();
       return;
     }
     if (ending) {
@@ -181,27 +188,55 @@
     }
   }
 
+  /** While no place can be had, it is looked again for one: connections fall idle, and some never close in their turn. */
+  private void lookAgain() {
+    if (!lookingForRoom) {
+      lookingForRoom = true;
+      loop.after(ROOM_US, () -> {
+        lookingForRoom = false;
+        if (waiting && !closed) {
+          makeRoom();
+          lookAgain();
+        }
+      });
+    }
+  }
+
   /**
    * Guards callers against being shut out by connections that nobody uses: closes the longest unused one with nothing
-   * open on it, first of those that have kept silent for a while. Its place is free once it has ended.
+   * open on it, and first those that have kept silent for a while, several at once. They are told the end in order, as a
+   * request may be on its way on them; a place is free once its connection has ended, and one whose peer was told long
+   * ago is not waited for. True where a place will be free.
    */
   private boolean makeRoom() {
     long now = System.nanoTime();
+    List<Connection> mute = new ArrayList<>();
     Connection victim = null;
-    boolean silent = false;
-    for (Connection each : open) {
+    boolean room = false;
+    for (Connection each : List.copyOf(open)) {
+      if (each.isClosed()) {
+        room = true;
+        if (each.lingers()) {
+          each.abort("its place is needed, and its peer does not close it");
+        }
+        continue;
+      }
       Connection.Use use = each.use();
-      boolean mute = use == Connection.Use.SILENT && now - each.touchedNs() > SILENT_NS;
-      if (use != Connection.Use.BUSY && (victim == null || mute && !silent
-          || mute == silent && each.touchedNs() < victim.touchedNs())) {
+      if (use == Connection.Use.SILENT && now - each.touchedNs() > SILENT_NS) {
+        mute.add(each);
+      } else if (use == Connection.Use.IDLE && (victim == null || each.touchedNs() < victim.touchedNs())) {
         victim = each;
-        silent = mute;
       }
     }
-    if (victim != null) {
-      victim.close("its place is needed");
+    if (room) {
+      return true; // one place or more is on its way to be free
+    }
+    mute.sort(Comparator.comparingLong(Connection::touchedNs));
+    mute.subList(0, Math.min(mute.size(), 1 + most / MUTE_PART)).forEach(Connection::closeGracefully);
+    if (mute.isEmpty() && victim != null) {
+      victim.closeGracefully();
     }
-    return victim != null;
+    return !mute.isEmpty() || victim != null;
   }
 
   private void accepted(AsynchronousSocketChannel channel) {
--- a/src/main/java/rosecleat/node/Fronts.java
+++ b/src/main/java/rosecleat/node/Fronts.java
@@ -13,7 +13,7 @@
     }
   }
 
-  /** Accepts no further connection, once none has come for so long; true when none can come any more. */
+  /** Accepts what waits and then nothing more, once no connection has come for so long; true when none can come. */
   boolean stopListening(long quietUs) {
     boolean shut = resp.stopListening(quietUs) & (uwsgi == null || uwsgi.stopListening(quietUs));
     closeIdle(quietUs);
@@ -32,6 +32,14 @@
     }
   }
 
+  /** Ends every connection in order, as soon as nothing is owed on it. */
+  void closeAll() {
+    resp.closeAll();
+    if (uwsgi != null) {
+      uwsgi.closeAll();
+    }
+  }
+
   /** Connections that are open. */
   int open() {
     return resp.open() + (uwsgi == null ? 0 : uwsgi.open());
--- a/src/main/java/rosecleat/node/HandOver.java
+++ b/src/main/java/rosecleat/node/HandOver.java
@@ -15,14 +15,19 @@
 
   private final Handover handover;
   private boolean shut;
+  private boolean hurried;
 
   HandOver(Core core, Fronts fronts, Handover handover, LongSupplier clock, long endUs) {
     super(core, fronts, clock, endUs);
     this.handover = handover;
   }
 
+  /**
+   * Towards the end also before the socket is shut: where all places are taken it can't be while they are, and whoever
+   * comes back to this process is served and asked again.
+   */
   @Override boolean sendsAway() {
-    return shut;
+    return shut || hurried;
   }
 
   /** Whether nobody takes over any more, while this process could still do without. */
@@ -32,6 +37,7 @@
 
   /** Keyed runs nobody waits for here are waited for too: a repeat at the other process may ask for their results. */
   @Override boolean step(boolean hurry) {
+    hurried |= hurry;
     shut = shut || (handover.successorServes() || hurry) && fronts.handOver();
     if (shut) {
       fronts.closeIdle(CALM_US);
--- a/src/main/java/rosecleat/node/Leaving.java
+++ b/src/main/java/rosecleat/node/Leaving.java
@@ -34,6 +34,7 @@
     boolean done = step(now > endUs - 2 * LAST_US);
     if (now > endUs - LAST_US) {
       core.answerAll("the node is stopped");
+      fronts.closeAll(); // told the end in order, while there is time for it to be heard
     }
     return done || now > endUs - EARLY_US;
   }
--- a/src/main/java/rosecleat/roster/RosterClient.java
+++ b/src/main/java/rosecleat/roster/RosterClient.java
@@ -77,7 +77,7 @@
     Connection old = connection;
     connection = null;
     if (old != null) {
-      old.closeWhenWritten();
+      old.closeGracefully();
     }
     if (waiting) {
       done();
@@ -95,7 +95,7 @@
         Connection used = connection;
         loop.after(HURRY_US, () -> {
           if (again && connection == used && used != null) {
-            used.close("the roster does not answer, and the notice to leave waits");
+            used.abort("the roster does not answer, and the notice to leave waits");
           }
         });
       }
@@ -114,7 +114,7 @@
       @Override public void connected(Connection fresh) {
         dialling = false;
         if (!to.equals(address)) { // it has moved meanwhile
-          fresh.close("the roster has moved");
+          fresh.abort("the roster has moved");
           report();
           return;
         }
@@ -156,7 +156,7 @@
           return; // an answer to a report that nobody waits for any more
         }
         if (!lines.add(bytes) || lines.tooLong()) {
-          fresh.close("the roster sent too much");
+          fresh.abort("the roster sent too much");
           return;
         }
         read(fresh);
@@ -182,7 +182,7 @@
     waiting = true;
     reply = new Reply();
     Connection used = connection;
-    patience = loop.after(REPLY_US, () -> used.close("the roster does not answer"));
+    patience = loop.after(REPLY_US, () -> used.abort("the roster does not answer"));
     used.write(ByteBuffer.allocate(start.length + body.length).put(start).put(body).flip());
   }
 
@@ -200,7 +200,7 @@
         return;
       }
       if (!head(line.trim())) {
-        from.close("the roster sent no HTTP");
+        from.abort("the roster sent no HTTP");
         return;
       }
     }
@@ -237,7 +237,7 @@
     }
     if (reply.closes || reply.status != 204) { // what comes behind another answer is not worth reading
       connection = null;
-      from.close("the roster closes");
+      from.abort("the roster closes");
     }
     done();
   }
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -84,7 +84,7 @@
         if (to.equals(address)) {
           adopt(connection);
         } else { // it has moved meanwhile
-          connection.close("the runtime has moved");
+          connection.abort("the runtime has moved");
           connect();
         }
       }
@@ -114,7 +114,7 @@
     Connection old = link;
     link = connection;
     if (old != null) {
-      old.closeWhenWritten(); // what it still brings comes again on this one
+      old.closeGracefully(); // what it still brings comes again on this one
     }
     ready = false;
     gaugesOut = false;
@@ -126,7 +126,7 @@
         }
         heardUs = clock.getAsLong();
         if (!lines.add(bytes) || lines.tooLong()) {
-          connection.close("the runtime sent a line that is too long");
+          connection.abort("the runtime sent a line that is too long");
           return;
         }
         for (String line = lines.line(); line != null; line = lines.line()) {
@@ -189,7 +189,7 @@
       counters.add("runtime.silent");
       log.warn("the runtime has been silent for " + (now - heardUs) / 1000 + " ms: its link is made anew");
       heardUs = now;
-      link.close("the runtime is silent");
+      link.abort("the runtime is silent");
       return;
     }
     if (ready && (!gaugesOut || now - gaugesAskedUs > GAUGES_US)) {
--- a/src/test/java/rosecleat/front/resp/PatienceTest.java
+++ b/src/test/java/rosecleat/front/resp/PatienceTest.java
@@ -127,6 +127,46 @@
     }
   }
 
+  /** Guards half a line from a balancer that was asked to close: its rest is answered, however late, until patience ends. */
+  @Test void whoWasAskedToCloseInTheMiddleOfAMessageMayFinishIt() throws Exception {
+    AtomicLong now = new AtomicLong(1_800_000_000_000_000L);
+    try (Log log = new Log(System.err); EventLoop loop = new EventLoop(log)) {
+      Core core = core(now, 30_000_000, log);
+      RespFront front = front(loop, core, now, log);
+      byte[] request = RespClient.array("DO", 2, "balance-check",
+          RespClient.fields("00000000000000a2", "small", 900, null), "b");
+      try (RespClient slow = new RespClient(front.port(), null); RespClient never = new RespClient(front.port(), null)) {
+        ask(slow, 1);
+        ask(never, 1);
+        slow.send(Arrays.copyOf(request, 20));
+        never.send(Arrays.copyOf(request, 20));
+        while (on(loop, front::receiving) < 2) {
+          Thread.yield();
+        }
+        leave(loop, front);
+        assertEquals("BYE", slow.read().get(1));
+        now.addAndGet(1_100_000); // longer than one with nothing begun is given
+        leave(loop, front);
+        slow.send(Arrays.copyOfRange(request, 20, request.length));
+        assertEquals("BUSY", slow.read().get(1));
+        assertNull(slow.read());
+        assertEquals("BYE", never.read().get(1));
+        on(loop, () -> {
+          front.closeAll(); // the time is up: half a message is not waited for, and not reset either
+          return 0;
+        });
+        assertNull(never.read());
+      }
+    }
+  }
+
+  private static void leave(EventLoop loop, RespFront front) {
+    on(loop, () -> {
+      front.sweep(true);
+      return 0;
+    });
+  }
+
   private static List<Core.Klass> classes() {
     return List.of(new Core.Klass("balance-check", false, false, 0, 1_000_000));
   }
--- a/src/test/java/rosecleat/front/resp/RespModelTest.java
+++ b/src/test/java/rosecleat/front/resp/RespModelTest.java
@@ -171,20 +171,37 @@
     model.expected.add(model.lastTag + " FAILED ");
   }
 
-  /** Bytes that make no sense end this connection alone, and what was open on it. */
+  /**
+   * Bytes that make no sense end this connection alone: nothing behind them is heard, what was read before them is still
+   * answered, and then the end comes in order. Sometimes the balancer goes first: then what is open is stopped.
+   */
   private void broken(Model model) throws Exception {
     try (RespClient other = new RespClient(front.port(), random)) {
       String junk = List.of("GET / HTTP/1.1\r\n\r\n", "*2\r\n$1\r\nx\r\n$1\r\ny\r\n", "*99\r\n", "*1\r\n$-1\r\n")
           .get(random.nextInt(4));
       client.send(junk.getBytes(StandardCharsets.UTF_8));
-      assertNull(readToEnd(), "the connection goes on");
-      List<String> stops = new ArrayList<>();
-      for (int i = 0; i < model.open.size(); i++) {
-        stops.add(next());
+      if (junk.indexOf('y') < 0) { // the one that is an array, if one without a tag, spoils nothing behind it
+        client.send(RespClient.array("DO", ++model.lastTag, "balance-check", fields(newId()), "behind it"));
       }
-      for (String id : model.open.values()) {
-        assertTrue(stops.contains("stop " + id), id + " runs on");
-        on(() -> end(id, Runner.End.HALTED, null));
+      assertEquals("BYE", client.read().get(1));
+      if (random.nextBoolean()) {
+        client.close();
+        List<String> stops = new ArrayList<>();
+        for (int i = 0; i < model.open.size(); i++) {
+          stops.add(next());
+        }
+        for (String id : model.open.values()) {
+          assertTrue(stops.contains("stop " + id), id + " runs on");
+          on(() -> end(id, Runner.End.HALTED, null));
+        }
+      }
+      for (long tag : client.isClosed() ? List.<Long>of() : List.copyOf(model.open.keySet())) {
+        String id = model.open.get(tag);
+        on(() -> end(id, Runner.End.OK, "result of " + id));
+        assertEquals(List.of(Long.toString(tag), "OK", "result of " + id), answered(client.read()));
+      }
+      if (!client.isClosed()) {
+        assertNull(client.read(), "the connection goes on");
       }
       model.open.clear();
       other.send(RespClient.array("PING", 1, ""));
@@ -211,13 +228,8 @@
     assertEquals(model.open.size(), (int) on(() -> (int) core.owed()));
   }
 
-  /** A connection closed with bytes unread may end in a reset. */
-  private List<String> readToEnd() throws IOException {
-    try {
-      return client.read();
-    } catch (java.net.SocketException e) {
-      return null;
-    }
+  private static List<String> answered(List<String> words) {
+    return List.of(words.get(0), words.get(1), words.get(3));
   }
 
   private String next() throws InterruptedException {
--- a/src/test/java/rosecleat/net/ListenerTest.java
+++ b/src/test/java/rosecleat/net/ListenerTest.java
@@ -1,8 +1,11 @@
 package rosecleat.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -109,4 +112,75 @@
     assertEquals(-1, older.getInputStream().read());
     assertEquals('x', say(busy, 'x'));
   }
+
+  /** Guards a first request against its place being needed: a silent connection on which bytes are on their way. */
+  @Test void whoseFirstBytesCrossTheNeedForItsPlaceIsAnswered() throws Exception {
+    loop = new EventLoop(log);
+    listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2,
+        Connection.Limits.SMALL, Echo::new);
+    try (LoopGate gate = new LoopGate(loop)) {
+      Socket first = connect();
+      Thread.sleep(300); // a while in which it might have spoken
+      gate.hold();
+      connect(); // takes the last place: the loop will look for room before it hears
+      gate.settle();
+      first.getOutputStream().write('x'); // of this
+      gate.settle();
+      gate.release();
+      assertEquals('x', first.getInputStream().read());
+      assertEquals(-1, first.getInputStream().read()); // then its place was needed
+    }
+  }
+
+  /** Guards what waits unaccepted while all places are taken: a node that leaves takes it before it shuts the door. */
+  @Test void whatWaitsForAPlaceIsTakenBeforeTheListenerCloses() throws Exception {
+    loop = new EventLoop(log);
+    listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2,
+        Connection.Limits.SMALL, Echo::new);
+    try (LoopGate gate = new LoopGate(loop)) {
+      int port = listener.port();
+      Socket busy = connect();
+      assertEquals('b', say(busy, 'b'));
+      assertEquals('b', say(connect(), 'b'));
+      Socket waits = connect();
+      waits.getOutputStream().write('x');
+      assertEquals(false, gate.on(() -> listener.closeWhenQuiet(0)));
+      busy.close();
+      assertEquals('x', waits.getInputStream().read());
+      while (!gate.on(() -> listener.closeWhenQuiet(0))) {
+        Thread.yield();
+      }
+      assertThrows(ConnectException.class, () -> new Socket(InetAddress.getLoopbackAddress(), port).close());
+    }
+  }
+
+  /** Guards newcomers: where all others are in use, the one whose first bytes are on their way is not the one to go. */
+  @Test void whoHasJustComeIsNoUnusedConnection() throws Exception {
+    loop = new EventLoop(log);
+    listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 2,
+        Connection.Limits.SMALL, Echo::new);
+    try (LoopGate gate = new LoopGate(loop)) {
+      assertEquals('b', say(connect(), 'b'));
+      Socket newcomer = connect();
+      gate.settle();
+      gate.on(() -> 0); // it has been taken, and a place was looked for
+      assertEquals('x', say(newcomer, 'x'));
+    }
+  }
+
+  /** Guards callers against peers that hold a place and never close it: they are told the end, and not waited for. */
+  @Test void placesOfThoseThatNeverCloseAreFreeInTime() throws Exception {
+    loop = new EventLoop(log);
+    int most = 64;
+    listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), most,
+        Connection.Limits.SMALL, Echo::new);
+    for (int i = 0; i < most; i++) {
+      connect();
+    }
+    long began = System.nanoTime();
+    for (int i = 0; i < most - 1; i++) { // the last place is always on its way to be free
+      assertEquals('b', say(connect(), 'b'));
+    }
+    assertTrue(System.nanoTime() - began < 5_000_000_000L, "took " + (System.nanoTime() - began) / 1_000_000 + " ms");
+  }
 }
--- a/src/test/java/rosecleat/node/BadClientsTest.java
+++ b/src/test/java/rosecleat/node/BadClientsTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -59,15 +61,11 @@
     return all;
   }
 
-  /** Reads until the connection ends; a reset is an end too. */
-  private static int answersUntilClosed(RespClient client) {
-    int answers = 0;
-    try {
-      while (client.read() != null) {
-        answers++;
-      }
-    } catch (IOException e) {
-      return e instanceof java.net.SocketTimeoutException ? -1 : answers;
+  /** Reads until the connection ends, which must be in order: a reset could cost answers. The words are the answers'. */
+  private static List<String> answersUntilClosed(RespClient client) throws IOException {
+    List<String> answers = new ArrayList<>();
+    for (List<String> words = client.read(); words != null; words = client.read()) {
+      answers.add(words.get(1));
     }
     return answers;
   }
@@ -77,7 +75,48 @@
     for (int i = 0; i < 64; i++) {
       errant.send(RespClient.array("DO", 1 + i, "no-such-class", "id=1", "b"));
     }
-    assertEquals(64, answersUntilClosed(errant));
+    List<String> answers = answersUntilClosed(errant);
+    assertEquals(64, Collections.frequency(answers, "FAILED"));
+    assertEquals(65, answers.size());
+    assertEquals("BYE", answers.get(64)); // the wish to close goes last, and the end with it
+    assertTrue(served(3));
+  }
+
+  /** Guards what was read well: one who errs too often is shut out, and still gets the answers that are owed to it. */
+  @Test void whatWasAskedBeforeTheMistakesIsAnsweredAndWhatCameBehindThemToo() throws IOException {
+    RespClient errant = connect();
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    all.writeBytes(RespClient.array("DO", 1, "balance-check", RespClient.fields("00000000000000e1", "small", 1_100, null), "b"));
+    for (int i = 0; i < 64; i++) {
+      all.writeBytes(RespClient.array("DO", 2 + i, "no-such-class", "id=1", "b"));
+    }
+    all.writeBytes(RespClient.array("DO", 66, "balance-check", RespClient.fields("00000000000000e2", "small", 1_100, null), "b"));
+    errant.send(all.toByteArray());
+    List<String> answers = answersUntilClosed(errant);
+    assertEquals(2, Collections.frequency(answers, "OK"));
+    assertEquals(64, Collections.frequency(answers, "FAILED"));
+    assertTrue(served(3));
+  }
+
+  /** Guards what was read well on a connection whose bytes make no sense later: it is answered before the end. */
+  @Test void whatWasAskedBeforeBytesWithoutSenseIsAnswered() throws IOException {
+    RespClient spoilt = connect();
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    all.writeBytes(RespClient.array("DO", 1, "balance-check", RespClient.fields("00000000000000e3", "small", 1_100, null), "b"));
+    all.writeBytes("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+    spoilt.send(all.toByteArray());
+    assertEquals(List.of("BYE", "OK"), answersUntilClosed(spoilt));
+    assertTrue(served(3));
+  }
+
+  /** Guards what stands behind an array that can't be answered, as it has no tag: the stream goes on there. */
+  @Test void whatStandsBehindAnArrayWithoutTagIsAnswered() throws IOException {
+    RespClient untagged = connect();
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    all.writeBytes(RespClient.array("DO", "x", "balance-check", "id", "b"));
+    all.writeBytes(RespClient.array("DO", 1, "balance-check", RespClient.fields("00000000000000e4", "small", 1_100, null), "b"));
+    untagged.send(all.toByteArray());
+    assertEquals(List.of("BYE", "OK"), answersUntilClosed(untagged));
     assertTrue(served(3));
   }
 
@@ -85,7 +124,7 @@
     RespClient huge = connect();
     huge.send("*5\r\n$2\r\nDO\r\n$1\r\n1\r\n$13\r\nbalance-check\r\n$2\r\nid\r\n$60000000\r\n"
         .getBytes(StandardCharsets.UTF_8));
-    assertEquals(0, answersUntilClosed(huge));
+    assertEquals(List.of("BYE"), answersUntilClosed(huge));
     RespClient large = connect();
     large.send(RespClient.array("DO", 1, "balance-check", "id", new byte[10_000_000]));
     assertEquals("FAILED", large.answer().get(1)); // skipped, and the connection can go on
--- a/src/test/java/rosecleat/standin/RespClient.java
+++ b/src/test/java/rosecleat/standin/RespClient.java
@@ -92,6 +92,11 @@
     return line.toString().trim();
   }
 
+  /** Whether this side has closed. */
+  public boolean isClosed() {
+    return socket.isClosed();
+  }
+
   @Override public void close() throws IOException {
     socket.close();
   }
