Put no call below on a connection that has ended, and tell one that was not sent from one that was

Seen in a test that holds the loop still until the index has cut an idle connection and a call is posted behind that: the call was handed to the dead connection, Connection.write returned false, Line.send took no notice, and when the end was told the call counted as cut off, which may have run, though not a byte had left. The connection's owner hears of an end one turn of the loop after it came to pass; in between Line.over() was false.

Lines at fault: Line.send (result of write dropped), Line.over (knew only what its owner had been told), IndexClient.unused.

Change: over() asks the connection, unused() passes over what is over, and a call that its connection did not take waits for another one, counted as index.unsendable. index.replies counts replies. Ruled out: a call written into a connection whose reset is still on its way is sent and may have run; STALE_US keeps those few.

IndexClientTest fails on the program before (index.lost is 1, the second call gets no reply).

--- a/src/main/java/rosecleat/index/IndexClient.java
+++ b/src/main/java/rosecleat/index/IndexClient.java
@@ -100,7 +100,7 @@
     }
     for (Iterator<Line> each = idle.iterator(); each.hasNext();) {
       Line line = each.next();
-      if (!line.carried(id)) {
+      if (!line.carried(id) && !line.over()) {
         each.remove();
         return line;
       }
@@ -108,10 +108,16 @@
     return null;
   }
 
+  /** Guards the proof that a call never ran: one that its connection did not take waits for another. */
   private void send(Line line, Call call) {
-    call.line = line;
-    counters.add("index.calls");
-    line.send(call, clock.getAsLong());
+    if (line.send(call, clock.getAsLong())) {
+      call.line = line;
+      counters.add("index.calls");
+    } else {
+      counters.add("index.unsendable");
+      waiting.addFirst(call);
+      dial();
+    }
   }
 
   @Override public void giveUp(String id) {
@@ -213,6 +219,7 @@
   }
 
   @Override public void replied(Line line, Call call, End end, byte[] body) {
+    counters.add("index.replies");
     free(line);
     over(call, end, body);
   }
--- a/src/main/java/rosecleat/index/Line.java
+++ b/src/main/java/rosecleat/index/Line.java
@@ -46,9 +46,9 @@
     return to;
   }
 
-  /** Whether it can take no further call. */
+  /** Whether it can take no further call; also where its connection has ended and that is still to be told. */
   boolean over() {
-    return over || carried.size() >= MOST_CALLS;
+    return over || connection.isClosed() || carried.size() >= MOST_CALLS;
   }
 
   /**
@@ -68,15 +68,18 @@
     idleSinceUs = nowUs;
   }
 
-  /** Sends a call. */
-  void send(Call next, long nowUs) {
+  /** Sends a call; false where the connection has ended and not a byte of it was sent. */
+  boolean send(Call next, long nowUs) {
+    long leftMs = Math.max(1, (next.untilUs - nowUs) / 1000);
+    byte[] head = bytes("GET " + next.id + " " + leftMs + " " + next.body.length + "\r\n");
+    if (!connection.write(ByteBuffer.allocate(head.length + next.body.length + 2).put(head).put(next.body)
+        .put((byte) '\r').put((byte) '\n').flip())) {
+      return false;
+    }
     call = next;
     strange = 0;
     carried.add(next.id);
-    long leftMs = Math.max(1, (next.untilUs - nowUs) / 1000);
-    byte[] head = bytes("GET " + next.id + " " + leftMs + " " + next.body.length + "\r\n");
-    connection.write(ByteBuffer.allocate(head.length + next.body.length + 2).put(head).put(next.body)
-        .put((byte) '\r').put((byte) '\n').flip());
+    return true;
   }
 
   /** Gives up its call, and the line with it: a reply that crosses finds nobody. */
