Doubt a runtime command by the link it went by: two breaks, or a kept start, lost it for good

Seen by reading, then in tests on a clock of their own: a start that a link swallowed was never sent again where the next link broke too more than a second later, as its age was taken from the last break; a start that had waited for a link was in no list of doubt, so that a break right behind it lost it. Either request hung until it was due, and its run stayed "running" for 30 s more. A start that found 4,096 others waiting was dropped without a word to the core.

Lines at fault: RuntimeLink.resumed (one brokenUs for all doubt), RuntimeLink.ready (wrote what was kept and noted nothing), RuntimeLink.send (dropped).

Change: what the link in use has not been shown to carry out is unproven; when that link ends, its last second becomes suspect, once and for all, and stays so until a notice, another command or the end of the catching-up clears it. Kept commands are sent behind the question that ends the catching-up, so they are never taken for swallowed by the old link. A start that can be neither sent nor kept is told as never reached. A write that the link refuses keeps its command.

RuntimeLinkTest: two of three fail on the program before; the third guards the order of the new code. The bound of 4,096 is shown by reading only.

--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -7,6 +7,7 @@
 import java.util.Base64;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -38,24 +39,25 @@
   private static final String RESUMED = "resumed";
   private static final Connection.Limits LIMITS = new Connection.Limits(16 << 10, 1 << 20, 4 << 20, 10_000_000);
 
-  /** A command that was sent at a time, and whether sending it again is no harm where it had arrived. */
-  private record Sent(String command, boolean repeatable, long atUs) { }
+  /** A command for a run, sent at a time or still to be sent, and whether sending it again is no harm where it had arrived. */
+  private record Command(String id, String line, boolean repeatable, long atUs) { }
 
   private final EventLoop loop;
   private final Core core;
   private final LongSupplier clock;
   private final Counters counters;
   private final Log log;
-  private final ArrayDeque<String> unsent = new ArrayDeque<>();
-  /** The last command of each run that the runtime has shown no effect of. */
-  private final Map<String, Sent> doubtful = new LinkedHashMap<>();
+  private final ArrayDeque<Command> unsent = new ArrayDeque<>();
+  /** The last command of each run, sent on the link in use, that the runtime has shown no effect of. */
+  private final Map<String, Command> unproven = new LinkedHashMap<>();
+  /** Those of links before, which may have swallowed them. */
+  private final Map<String, Command> suspect = new LinkedHashMap<>();
   private final Set<String> repeated = new HashSet<>();
   private InetSocketAddress address;
   private Connection link;
   private boolean dialling;
   private boolean ready;
   private long lastNotice;
-  private long brokenUs;
   private long gaugesAskedUs;
   private long heardUs;
   private long askedUs;
@@ -84,7 +86,7 @@
         if (to.equals(address)) {
           adopt(connection);
         } else { // it has moved meanwhile
-          connection.abort("the runtime has moved");
+          connection.abort("the runtime has moved"); // nothing was said on it
           connect();
         }
       }
@@ -105,11 +107,19 @@
     if (!to.equals(address)) {
       address = to;
       ready = false;
-      brokenUs = clock.getAsLong();
+      suspectLast();
       connect();
     }
   }
 
+  /** No further command goes by the link in use: the last ones may be lost with it, all earlier ones have arrived. */
+  private void suspectLast() {
+    long sinceUs = clock.getAsLong() - DOUBT_US;
+    unproven.values().stream().filter(command -> command.atUs >= sinceUs)
+        .forEach(command -> suspect.put(command.id, command));
+    unproven.clear();
+  }
+
   private void adopt(Connection connection) {
     Connection old = link;
     link = connection;
@@ -142,7 +152,7 @@
         boolean stood = ready;
         link = null;
         ready = false;
-        brokenUs = clock.getAsLong();
+        suspectLast();
         // at once, as the runtime goes on meanwhile; a link that never stood must not be made again in a whirl
         loop.after(stood ? 0 : RETRY_US, () -> {
           if (link == null) {
@@ -164,7 +174,9 @@
   @Override public void start(Ask ask, long dueUs) {
     String command = "{\"type\":\"start\",\"job\":\"" + ask.id() + "\",\"kind\":\"" + ask.kind() + "\",\"data\":\""
         + base64(ask.body()) + "\"}";
-    send(ask.id(), command, ask.once() == null || core.calls(ask.klass()));
+    if (!send(ask.id(), command, ask.once() == null || core.calls(ask.klass()))) {
+      loop.execute(() -> core.ended(ask.id(), End.UNREACHED, null, 0)); // told like any other end, not inside the order
+    }
   }
 
   @Override public void stop(String id) {
@@ -203,23 +215,37 @@
     return Base64.getEncoder().encodeToString(bytes);
   }
 
-  /** Sends a command, or keeps it for the next link: it has not been sent, so sending it then is no repeat. */
-  private void send(String id, String command, boolean repeatable) {
+  /**
+   * Sends a command, or keeps it for the next link: it has not been sent, so sending it then is no repeat. False where
+   * too many wait already, and it is neither.
+   */
+  private boolean send(String id, String line, boolean repeatable) {
     counters.add("runtime.commands");
     repeated.remove(id);
-    doubtful.remove(id);
-    if (ready && link != null && !link.isClosed()) {
-      write(command);
-      doubtful.put(id, new Sent(command, repeatable, clock.getAsLong()));
-    } else if (unsent.size() < WAITING) {
-      unsent.add(command);
-    } else {
+    unproven.remove(id);
+    suspect.remove(id);
+    Command command = new Command(id, line, repeatable, clock.getAsLong());
+    if (ready && sent(command)) {
+      return true;
+    }
+    if (unsent.size() >= WAITING) { // a runtime that is away for good: memory is bounded
       counters.add("runtime.dropped");
+      return false;
+    }
+    return unsent.add(command);
+  }
+
+  /** Sends a command by the link in use; false where it has ended and not a byte was sent. */
+  private boolean sent(Command command) {
+    if (link == null || !write(command.line)) {
+      return false;
     }
+    unproven.put(command.id, new Command(command.id, command.line, command.repeatable, clock.getAsLong()));
+    return true;
   }
 
-  private void write(String line) {
-    link.write(ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.ISO_8859_1)));
+  private boolean write(String line) {
+    return link.write(ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.ISO_8859_1)));
   }
 
   // ---- notices
@@ -241,8 +267,9 @@
       lastNotice = n;
     }
     String job = message.text("job");
-    if (n > 0) {
-      doubtful.remove(job); // the run has moved on: its last command arrived
+    if (n > 0) { // the run has moved on: its last command arrived
+      unproven.remove(job);
+      suspect.remove(job);
     }
     switch (message.text("type")) {
       case "ready" -> ready(message);
@@ -277,12 +304,12 @@
     ready = true;
     log.info("the runtime is up, " + message.text("state") + ", since " + message.micros("took") / 1000 + " ms");
     core.begin(this, message.text("state").equals("cold"), message.micros("took"));
-    while (!unsent.isEmpty() && link != null && !link.isClosed()) {
-      write(unsent.remove());
-    }
-    if (!doubtful.isEmpty()) {
+    if (!suspect.isEmpty()) {
       write("{\"type\":\"gauges\",\"ref\":\"" + RESUMED + "\"}");
     }
+    while (!unsent.isEmpty() && sent(unsent.peek())) {
+      unsent.remove();
+    }
   }
 
   /**
@@ -291,16 +318,16 @@
    */
   private void resumed() {
     repeated.clear();
-    Map<String, Sent> last = new LinkedHashMap<>(doubtful);
-    doubtful.clear();
-    last.forEach((id, sent) -> {
-      if (sent.atUs < brokenUs - DOUBT_US) {
-        return; // it had arrived
-      }
-      if (sent.repeatable) {
+    List<Command> last = List.copyOf(suspect.values());
+    suspect.clear();
+    last.forEach(command -> {
+      String id = command.id;
+      if (command.repeatable) {
         counters.add("runtime.resent");
         repeated.add(id);
-        write(sent.command);
+        if (!sent(command)) {
+          suspect.put(id, command); // this link has ended too: the next one tells
+        }
       } else {
         counters.add("runtime.unproven");
         core.ended(id, End.CUT, null, 0); // answered now: nothing more will prove whether it runs
@@ -312,7 +339,8 @@
     if (repeated.remove(job)) {
       return; // the command had arrived before, by the link that broke
     }
-    doubtful.remove(job);
+    unproven.remove(job);
+    suspect.remove(job);
     switch (command) {
       case "start" -> core.nacked(job, true);
       case "give", "omit" -> core.nacked(job, false);
