Tell the roster again 0.2 s after a report that failed, and pass over interim replies

Seen in tests: after a report that was answered 503, broke off or ran out of time, the next went out with the next whole second; only a refused connect was tried again after 0.2 s. With replies that take 0.9 s to fail, the list's three seconds leave two tries. An interim reply (103) in front of the 204 counted as a failed answer and closed the connection.

Lines at fault: RosterClient.done (no second try), RosterClient.head (1xx taken for final, RFC 9110 15.2).

Change: a report that comes to nothing is made again after 0.2 s (0.1 s on leaving), by the way that a refused connect goes already. Interim replies are skipped. A connection that refuses a report is not waited for.

RosterClientTest: two of three fail on the program before; the third (the notice to leave crosses the end of its connection) passed: report() asks isClosed() already. Ruled out with it: the 0.9 s wait that the issue suspected there.

--- a/src/main/java/rosecleat/roster/RosterClient.java
+++ b/src/main/java/rosecleat/roster/RosterClient.java
@@ -80,7 +80,7 @@
       old.closeGracefully();
     }
     if (waiting) {
-      done();
+      done(true);
     }
     report(); // within the second after which the list would drop this node
   }
@@ -140,7 +140,7 @@
       redialling = true;
       loop.after(on ? REDIAL_US : REDIAL_LEAVING_US, () -> {
         redialling = false;
-        if (connection == null && !dialling) {
+        if (!waiting && !dialling) {
           report();
         }
       });
@@ -167,7 +167,7 @@
           connection = null;
           if (waiting) {
             counters.add("roster.failed");
-            done();
+            done(false);
           }
         }
       }
@@ -179,11 +179,15 @@
     String head = "PUT /roster/" + name + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
         + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n";
     byte[] start = head.getBytes(StandardCharsets.US_ASCII);
+    Connection used = connection;
+    if (!used.write(ByteBuffer.allocate(start.length + body.length).put(start).put(body).flip())) {
+      connection = null; // it has ended, and that is still to be told: another one is dialled, and nothing waited for
+      report();
+      return;
+    }
     waiting = true;
     reply = new Reply();
-    Connection used = connection;
     patience = loop.after(REPLY_US, () -> used.abort("the roster does not answer"));
-    used.write(ByteBuffer.allocate(start.length + body.length).put(start).put(body).flip());
   }
 
   private void read(Connection from) {
@@ -217,7 +221,11 @@
     }
     String lower = line.toLowerCase(Locale.ROOT);
     if (line.isEmpty()) {
-      reply.whole = true;
+      if (reply.status < 200) { // an interim reply: the final one follows
+        reply = new Reply();
+      } else {
+        reply.whole = true;
+      }
     } else if (lower.startsWith("content-length:")) {
       String length = lower.substring(15).trim();
       if (!length.matches("[0-9]{1,4}")) {
@@ -237,17 +245,20 @@
     }
     if (reply.closes || reply.status != 204) { // what comes behind another answer is not worth reading
       connection = null;
-      from.abort("the roster closes");
+      from.closeGracefully();
     }
-    done();
+    done(reply.status == 204);
   }
 
-  private void done() {
+  /** A report has come to its end: one that failed is made again before the second is over, as the list drops who keeps silent. */
+  private void done(boolean good) {
     waiting = false;
     patience.cancel(false);
     if (again) {
       again = false;
       report();
+    } else if (!good) {
+      redial();
     }
   }
 }
