Hear the notice to leave from before the node listens: a SIGTERM then ended it under its callers

Seen by reading: Serving.start made the node, which listens at once, then started a thread, and only then registered the hook that takes the leave. A SIGTERM in between ended the virtual machine by its default, with whatever the system had accepted by then reset. The window is some milliseconds of a start; rolling releases hit it in the end.

Lines at fault: Serving.start (order). Change: the hook is registered first; the node is made under the lock that the notice takes, so that the notice finds a node that stands, waits for one that is being made, or prevents it. A process without a node ends by itself with the code it was given (a configuration that can't be used still ends with 2: MainTest).

ServingTest fails where told() does not wait (tried with the lock taken out). That the hook stands before the socket is the order of two statements, and no test of ours forces a signal in between. The node is not made by a lambda: that loaded Sharing on the platform, which AloneTest forbids (it failed on the first try).

--- a/src/main/java/rosecleat/node/Serving.java
+++ b/src/main/java/rosecleat/node/Serving.java
@@ -20,15 +20,34 @@
   /** The process ends so long before it would be killed, whatever the node is doing (us). */
   private static final long EARLY_US = 75_000;
 
-  private final Node node;
   private final Log log;
   private final CountDownLatch left = new CountDownLatch(1);
+  private Node node;
+  private boolean told;
 
-  private Serving(Node node, Log log) {
-    this.node = node;
+  Serving(Log log) {
     this.log = log;
   }
 
+  /** How a node is made; it may listen from then on. */
+  interface Standing {
+    Node stand() throws IOException;
+  }
+
+  /** Makes the node; null, and none made, where the notice to leave has come already. */
+  synchronized Node stand(Standing standing) throws IOException {
+    if (!told) {
+      node = standing.stand();
+    }
+    return node;
+  }
+
+  /** The notice to leave has come: the node that is to leave, waited for while it is made; null where none ever will be. */
+  synchronized Node told() {
+    told = true;
+    return node;
+  }
+
   /**
    * Starts a node, which logs its counters so often (seconds, 0 for never) and reads its configuration anew on
    * SIGHUP; it goes on after this returns. {@code shared} is the folder that all processes of the node see, or null.
@@ -36,6 +55,9 @@
   public static int start(Setup setup, Supplier<Setup> reader, Path shared, int countersEvery) throws IOException {
     NodeConfig config = setup.node();
     Log log = new Log(System.err);
+    Serving serving = new Serving(log);
+    // before it listens: a notice to leave that found no hook would end the process under those it has accepted
+    Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
     Reload reload = new Reload(setup, reader, log);
     reload.install(); // before it listens: from then on a signal may come
     EventLoop loop = new EventLoop(log);
@@ -52,10 +74,15 @@
     if (config.runtime() != null) {
       Warmup.play(config);
     }
-    Node node = new Node(config, setup.broker(), loop, handover, counters, learning, sharing, log);
-    Serving serving = new Serving(node, log);
+    Node node = serving.stand(new Standing() { // no lambda: its types are loaded, also those that a platform's node does without
+      @Override public Node stand() throws IOException {
+        return new Node(config, setup.broker(), loop, handover, counters, learning, sharing, log);
+      }
+    });
+    if (node == null) {
+      return GOES_ON; // told to leave: the process ends now
+    }
     new Thread(serving::stay, "stay").start();
-    Runtime.getRuntime().addShutdownHook(new Thread(serving::leave, "leave"));
     node.onLoop(() -> operators.serve(node));
     node.start();
     reload.tell(node::reload);
@@ -76,7 +103,12 @@
 
   /** Runs as the virtual machine's shutdown hook: what the node still does goes on while this waits. */
   private void leave() {
-    long hasUs = node.leave(left::countDown);
+    Node leaving = told();
+    if (leaving == null) { // nobody was served, and the process ends by itself, with the code it was given
+      log.close();
+      return;
+    }
+    long hasUs = leaving.leave(left::countDown);
     try {
       if (!left.await(hasUs - EARLY_US, TimeUnit.MICROSECONDS)) {
         log.warn("the time to leave ran out");
@@ -84,7 +116,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    node.settle(Node.SETTLE_MS);
+    leaving.settle(Node.SETTLE_MS);
     log.close();
     Runtime.getRuntime().halt(0);
   }
