Keep run times above nothing: a run of no length made every later reckoning no number

Traced: Policy.learn got a worked time of 0 or less, as a run's length came to no more than its time at calls; the mean of its class became 0 or negative, 0 / 0 made the stretch no number, and with it each expected run, each call's end and each check of hope, for good. Checked on its own: the first run of a class with a length of 0 does it, and so does a run that was dropped at a call and begun anew, since Item.off kept the first run's calls: a mean of -260 ms for a run of 40. Ruled out: the books of calls (callLog), the random start of spans.

Lines at fault: Policy.ended (tookUs - it.off), Policy.start (off not begun anew). Change: worked time is at least 1 us, and a start begins with no time at calls.

--- a/src/main/java/rosecleat/policy/Policy.java
+++ b/src/main/java/rosecleat/policy/Policy.java
@@ -254,7 +254,7 @@
     }
     boolean wasRun = it.state != State.ATTACHED;
     if (outcome == Outcome.OK ? wasRun : outcome == Outcome.HALTED && it.state == State.RUNNING) {
-      learn(it, tookUs - it.off, outcome == Outcome.OK ? 1 : 0); // time at calls is no slowness
+      learn(it, Math.max(1, tookUs - it.off), outcome == Outcome.OK ? 1 : 0); // time at calls is no slowness
     }
     if (wasRun && outcome == Outcome.OK || outcome == Outcome.ERROR) {
       rates(now);
@@ -616,6 +616,7 @@
     it.kb = s.runFactor() * it.q.heldKb();
     it.ran = true;
     it.started = now;
+    it.off = 0;
     if (it.effects != null) {
       it.effects.ran = true;
     }
--- a/src/test/java/rosecleat/policy/RulesTest.java
+++ b/src/test/java/rosecleat/policy/RulesTest.java
@@ -261,6 +261,42 @@
     }
   }
 
+  /** Guards all that is reckoned by run times against a run of no length, or of less than the clock makes of its calls. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 100_000})
+  void aRunOfNoLengthSpoilsNoFigure(long tookUs) {
+    Host h = below(4, false, CALLS);
+    Host.Entry e = h.arrive(0);
+    h.need(e);
+    h.pass(tookUs + 1_000); // its time at the call, by this clock
+    h.called(e, Outcome.OK);
+    h.end(e, Outcome.OK, tookUs);
+    assertTrue(h.policy.learnt().runUs()[0] > 0, "a run time of " + h.policy.learnt().runUs()[0]);
+    for (int i = 0; i < 5; i++) { // the host asserts that no call is given up before it is made
+      Host.Entry next = h.arrive(0);
+      h.pass(40_000);
+      h.need(next);
+      assertEquals(Host.At.CALLING, next.at);
+      h.called(next, Outcome.OK);
+      h.end(next, Outcome.OK, 40_000);
+    }
+  }
+
+  /** Guards run times against a run that was dropped at a call and began anew: that call's time is none of the second run's. */
+  @Test void aSecondRunIsNotReckonedWithTheCallsOfTheFirst() {
+    Host h = below(4, false, CALLS);
+    Host.Entry e = h.arrive(0);
+    h.need(e);
+    h.pass(300_000);
+    h.called(e, Outcome.OK);
+    h.end(e, Outcome.HALTED, 310_000); // by itself, as where a link lost a command
+    h.pass(20_000);
+    assertEquals(Host.At.RUNNING, e.at);
+    h.pass(40_000);
+    h.end(e, Outcome.OK, 40_000);
+    assertEquals(40_000, h.policy.learnt().runUs()[0], 5_000);
+  }
+
   private static final Klass LESS_WITHOUT =
       new Klass(1, 0, 5_000_000, 0, 17_000_000, Effect.SAFE, 0, true, 0.3);
   private static final Klass NOTHING_WITHOUT =
