Play what twenty and thirty processes send in sum to a dependency that comes back cold

Need: cold servers fall under the sum of what all processes send, and beyond their budget of N only 2 root N + 2 counts as chance. Until now only one module's share was tried (RulesTest.noSpanHoldsMoreCallsThanThisServersShare).

FleetRamp plays 20 and 30 modules that hear nothing of each other on one dependency that works, is away for 6 s and comes back ten times as slow, warm after 15 s. No code changed for this.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	mvn -q -B clean
 
 # Measurements; long, and no part of the tests. Each prints the table that docs/measurements keeps.
-.PHONY: measure-classes measure-state measure-store measure-fleet measure-routes
+.PHONY: measure-classes measure-state measure-store measure-fleet measure-routes measure-ramp
 
 measure-classes: build
 	mvn -q -B test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath -Dmdep.includeScope=test
@@ -47,5 +47,9 @@
 	java -Xmx6g -cp target/test-classes:target/classes:$$(cat target/classpath) rosecleat.measure.FleetView $(FLEET_SEEDS)
 	$(MEASURE) rosecleat.rig.FleetProcesses $(FLEET_PROCESSES) 1000
 
+# What 20 and 30 processes send in sum to a dependency that comes back cold.
+measure-ramp: measure-classes
+	$(MEASURE) rosecleat.policy.FleetRamp
+
 measure-routes: measure-classes
 	$(MEASURE) rosecleat.measure.RoutesSpeed
