Free places as fast as idle clients take them, and say in which moments a close needs no linger

Seen: a node with 64 or 200 descriptors, under twice as many clients that say nothing or one PING and never close, did not answer a balancer for 10 s.

Change: a connection on which nothing has come or gone for 60 ms (PROTOCOL: a request crosses a close by 50 ms at the most) is told the end and closed at once, as nothing on it can be lost by that; only one used just now lingers. A silent one counts as unused from 60 ms on, not 250. The number closed at once doubles while places are taken as fast as they come free, up to a quarter; it begins at one again after a second.

--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -75,8 +75,8 @@
   private static final int PIECE = 16 << 10;
   /** How long a connection closed here waits for its peer to close, so that no answer is cut off (us). */
   private static final long LINGER_US = 1_000_000;
-  /** A peer has heard the end of a connection so long after it was told, or never will in useful time (ns). */
-  private static final long HEARD_NS = 100_000_000;
+  /** A request crosses the end of its connection by 50 ms at the most (PROTOCOL): nothing older is under way on it (ns). */
+  static final long CROSSING_NS = 60_000_000;
 
   private final EventLoop loop;
   private final AsynchronousSocketChannel channel;
@@ -210,9 +210,13 @@
     return touchedNs;
   }
 
-  /** Whether its peer was told the end long enough ago to have heard it, and has not closed in its turn. */
+  /**
+   * Whether it waits for its peer alone, and nothing more can be lost: the end was told long enough ago, or when the last
+   * byte had come and gone as long before.
+   */
   boolean lingers() {
-    return state == State.HALF_CLOSED && System.nanoTime() - toldNs >= HEARD_NS;
+    return state == State.HALF_CLOSED && !arrived
+        && (System.nanoTime() - toldNs >= CROSSING_NS || toldNs - touchedNs >= CROSSING_NS);
   }
 
   /** Queues bytes; false, and not one of them sent, where the connection is closed or its queue has no room for them. */
--- a/src/main/java/rosecleat/net/Listener.java
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -8,6 +8,7 @@
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -20,14 +21,14 @@
 public final class Listener {
   private static final int BACKLOG = 1024;
   private static final long RETRY_US = 20_000;
-  /** A connection that has said nothing for so long is the first to go where places are short; a younger one may be about to. */
-  private static final long SILENT_NS = 250_000_000;
   /** A call to accept that has stood for so long found nothing waiting. */
   private static final long ARMED_NS = 5_000_000;
   /** So often it is looked again for a place, while none can be had (us). */
-  private static final long ROOM_US = 50_000;
-  /** Of all places, so many may be made free at once by closing connections that never said anything. */
-  private static final int MUTE_PART = 16;
+  private static final long ROOM_US = 20_000;
+  /** Of all places, one in so many may be made free at once, where they are taken again as fast as they come free. */
+  private static final int MOST_PART = 4;
+  /** Places that were needed so long ago say nothing of how many are needed now. */
+  private static final long NEED_NS = 1_000_000_000;
 
   private final EventLoop loop;
   private final AsynchronousServerSocketChannel server;
@@ -38,6 +39,8 @@
   private final Set<Connection> open = new LinkedHashSet<>();
   private boolean waiting;
   private boolean lookingForRoom;
+  private int needed = 1;
+  private long neededNs = System.nanoTime() - NEED_NS;
   private boolean ending;
   private boolean closed;
   private volatile boolean come;
@@ -134,6 +137,9 @@
     }
     if (open.size() >= most) { // guards the limit on descriptors: the rest wait unaccepted
       waiting = true;
+      long now = System.nanoTime();
+      needed = now - neededNs < NEED_NS ? Math.min(1 + most / MOST_PART, 2 * needed) : 1;
+      neededNs = now;
       if (!makeRoom()) {
         log.warn(open.size() + " connections are open and in use, no more are accepted");
       }
@@ -203,40 +209,44 @@
   }
 
   /**
-   * Guards callers against being shut out by connections that nobody uses: closes the longest unused one with nothing
-   * open on it, and first those that have kept silent for a while, several at once. They are told the end in order, as a
-   * request may be on its way on them; a place is free once its connection has ended, and one whose peer was told long
-   * ago is not waited for. True where a place will be free.
+   * Guards callers against being shut out by connections that nobody uses: closes those with nothing open on them, first
+   * the silent ones, then the longest unused; one, or more where places are taken as fast as they come free. A silent one
+   * that is young may be about to speak, and stays. Those used just now are told the end in order, and their places are free
+   * once they have ended, or a little later. True where a place will be free.
    */
   private boolean makeRoom() {
     long now = System.nanoTime();
-    List<Connection> mute = new ArrayList<>();
-    Connection victim = null;
-    boolean room = false;
+    int ending = 0;
+    List<Connection> unused = new ArrayList<>();
+    Set<Connection> mute = new HashSet<>();
     for (Connection each : List.copyOf(open)) {
       if (each.isClosed()) {
-        room = true;
-        if (each.lingers()) {
-          each.abort("its place is needed, and its peer does not close it");
-        }
+        ending++;
+        letGo(each);
         continue;
       }
       Connection.Use use = each.use();
-      if (use == Connection.Use.SILENT && now - each.touchedNs() > SILENT_NS) {
+      if (use == Connection.Use.SILENT && now - each.touchedNs() > Connection.CROSSING_NS) {
         mute.add(each);
-      } else if (use == Connection.Use.IDLE && (victim == null || each.touchedNs() < victim.touchedNs())) {
-        victim = each;
+        unused.add(each);
+      } else if (use == Connection.Use.IDLE) {
+        unused.add(each);
       }
     }
-    if (room) {
-      return true; // one place or more is on its way to be free
+    unused.sort(Comparator.<Connection, Boolean>comparing(each -> !mute.contains(each))
+        .thenComparingLong(Connection::touchedNs));
+    List<Connection> go = unused.subList(0, Math.max(0, Math.min(unused.size(), needed - ending)));
+    for (Connection each : go) {
+      each.closeGracefully();
+      letGo(each);
     }
-    mute.sort(Comparator.comparingLong(Connection::touchedNs));
-    mute.subList(0, Math.min(mute.size(), 1 + most / MUTE_PART)).forEach(Connection::closeGracefully);
-    if (mute.isEmpty() && victim != null) {
-      victim.closeGracefully();
+    return ending > 0 || !go.isEmpty();
+  }
+
+  private static void letGo(Connection each) {
+    if (each.lingers()) {
+      each.abort("its place is needed");
     }
-    return !mute.isEmpty() || victim != null;
   }
 
   private void accepted(AsynchronousSocketChannel channel) {
