Reckon the grace and the end from when the notice to leave came, not from when the loop heard of it

Seen by reading: Node.leave posts to the loop, and grace and end were reckoned from when that task ran. A loop that is 200 ms late (the log has known "the loop was N ms late") ran what had reached the machine up to 200 ms behind the grace, where 50 ms are allowed, and thought it had 200 ms more before it is killed.

Lines at fault: Node.leave and drain (endUs, toldUs), Core.drain (graceEndUs), Work.run (trusted the module's own reckoning).

Change: the time of the notice is taken on the thread that brings it; grace and end count from there. Work.run turns away what came behind the true grace, counted as late.notrun; the module still hears of a run that was none.

CoreTest.whatComesAfterTheGrace... fails with the old reckoning (a late request is started).

--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -290,14 +290,14 @@
     }
   }
 
-  /** The notice to leave, {@code leftUs} before the end. */
-  public void drain(long leftUs) {
+  /** The notice to leave, which came at a time by the Unix clock, if it is heard only now; {@code leftUs} are left. */
+  public void drain(long toldUs, long leftUs) {
     if (draining) {
       return;
     }
     draining = true;
     good = false;
-    graceEndUs = clock.getAsLong() + rules.graceUs();
+    graceEndUs = toldUs + rules.graceUs();
     if (decisions.begun()) {
       report(new Report.Draining(leftUs));
     }
@@ -365,7 +365,7 @@
 
   private void obey(Order order) {
     if (order instanceof Order.Run o) {
-      with(o.id(), work::run);
+      with(o.id(), life -> work.run(life, life.ask.atUs() > graceEndUs));
     } else if (order instanceof Order.Refuse o) {
       with(o.id(), life -> work.refuse(life, o.holdOffUs(), o.last()));
     } else if (order instanceof Order.Fail o) {
--- a/src/main/java/rosecleat/core/Work.java
+++ b/src/main/java/rosecleat/core/Work.java
@@ -114,7 +114,11 @@
 
   // ---- orders
 
-  void run(Life life) {
+  /**
+   * Starts a run; what came after the grace is turned away instead. Guards the drain: the module reckons the grace from when
+   * it heard of the notice, and a busy loop hears of it late.
+   */
+  void run(Life life, boolean late) {
     if (life.state != Life.State.HELD || !life.owed()) {
       return;
     }
@@ -126,6 +130,14 @@
         settle(life, RunOutcome.MOOT, 0); // the module takes it for running
         return;
       }
+    }
+    if (late) {
+      counters.add("late.notrun");
+      answer(life, life.ran ? givenUp(life) : new Answer.Refused(0, false));
+      settle(life, RunOutcome.MOOT, 0);
+      return;
+    }
+    if (keyed(life)) {
       if (!claimed(life)) {
         return;
       }
--- a/src/main/java/rosecleat/log/Log.java
+++ b/src/main/java/rosecleat/log/Log.java
@@ -13,7 +13,7 @@
 public final class Log implements AutoCloseable {
   private static final int WAITING = 1024;
   private static final int WIDEST = 400;
-  private static final long LAST_MS = 200;
+  private static final long LAST_MS = 50;
   /** A pause behind each line: what floods the log is dropped here, not written. */
   private static final long PACE_MS = 2;
 
@@ -85,7 +85,7 @@
     }
   }
 
-  /** Writes what still waits, for a fifth of a second at most. */
+  /** Writes what still waits, for 50 ms at the most: a process that leaves is killed shortly after. */
   @Override public void close() {
     closed = true;
     try {
--- a/src/main/java/rosecleat/net/Clock.java
+++ b/src/main/java/rosecleat/net/Clock.java
@@ -10,10 +10,13 @@
 
   /** The system's clock. */
   public Clock() {
-    this(() -> {
-      Instant now = Instant.now();
-      return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
-    });
+    this(Clock::systemUs);
+  }
+
+  /** What the system's clock shows, which may be set back; for any thread. */
+  public static long systemUs() {
+    Instant now = Instant.now();
+    return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
   }
 
   /** A clock over another source, which may jump. */
--- a/src/main/java/rosecleat/node/Node.java
+++ b/src/main/java/rosecleat/node/Node.java
@@ -173,7 +173,9 @@
   long leave(Runnable done) {
     boolean handsOver = handover.successorLives();
     long leftUs = handsOver ? Math.min(core.longestDueUs(), LONGEST_US) + KILLED_US : config.stopUs();
+    long noticeUs = Clock.systemUs();
     loop.execute(() -> {
+      long toldUs = Math.min(noticeUs, clock.getAsLong()); // a busy loop hears of it late, and the time runs
       whenLeft = done;
       log.info("told to leave" + (handsOver ? " by a newer process that takes over, " : ", ") + core.inHand()
           + " in hand");
@@ -186,19 +188,19 @@
       } else if (learning != null) {
         learning.memory().save(clock.getAsLong());
       }
-      long endUs = clock.getAsLong() + leftUs;
+      long endUs = toldUs + leftUs;
       if (handsOver) {
         leaving = new HandOver(core, fronts, handover, clock, endUs);
       } else {
-        drain(endUs);
+        drain(toldUs, endUs);
       }
     });
     return leftUs;
   }
 
-  private void drain(long endUs) {
+  private void drain(long toldUs, long endUs) {
     roster.leave();
-    core.drain(endUs - clock.getAsLong() - Leaving.EARLY_US);
+    core.drain(toldUs, endUs - clock.getAsLong() - Leaving.EARLY_US);
     leaving = new Drain(core, fronts, clock, endUs);
   }
 
@@ -260,7 +262,7 @@
     resp.sweep(leaving != null && leaving.sendsAway());
     if (leaving instanceof HandOver handOver && handOver.forsaken()) {
       log.warn("the newer process is gone: this one drains");
-      drain(leaving.endUs());
+      drain(now, leaving.endUs());
     }
     if (leaving != null && leaving.over()) {
       shares.look(true); // what it took counts on for those that stay
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -241,7 +241,7 @@
   @Test void aNoticeToLeaveThatComesBeforeTheCoresAreUpHolds() {
     core = fresh(1 << 20);
     assertTrue(core.good());
-    core.drain(3_000_000);
+    core.drain(now, 3_000_000);
     assertTrue(!core.good());
     core.begin(null, false, 0);
     assertTrue(!core.good());
@@ -273,11 +273,26 @@
 
   @Test void afterTheGraceNothingIsRunAndAtTheEndAllIsAnswered() {
     Try running = send(0, null, "x");
-    core.drain(3_000_000);
+    core.drain(now, 3_000_000);
     end(running, Runner.End.OK, "done");
     assertArrayEquals("done".getBytes(), running.served());
     pass(1_600_000);
     assertInstanceOf(Answer.Refused.class, send(0, null, "late").only());
     assertEquals(1, starts());
   }
+
+  /** Guards the grace against a loop that hears of the notice late: it is reckoned from when the notice came. */
+  @Test void whatComesAfterTheGraceIsNotRunThoughTheNoticeWasHeardLate() {
+    long toldUs = now;
+    now += 200_000; // the loop was busy
+    core.drain(toldUs, 3_000_000);
+    Try within = send(0, null, "a");
+    now = toldUs + 1_500_000 + 100_000; // behind the grace, but not behind it as the module has it
+    Try late = send(0, null, "b");
+    Try keyed = send(2, "k", "c");
+    assertEquals(List.of("start " + within.id), orders);
+    assertInstanceOf(Answer.Refused.class, late.only());
+    assertInstanceOf(Answer.Refused.class, keyed.only());
+    assertEquals(2, core.counters().get("late.notrun"));
+  }
 }
