Name an attempt's handler and the end of a call by the field's terms: ConnectHandler, cancel

Connection.Dialled is ConnectHandler, Ledger.giveUp and Line.giveUp are cancel. No behaviour changes; the store's own giveUp is another thing (a write that is abandoned) and stays.

--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -216,7 +216,7 @@
     }
     counters.add("runs." + end.name().toLowerCase(Locale.ROOT));
     if (life.state == Life.State.CALLING) {
-      ledger.giveUp(id);
+      ledger.cancel(id);
     }
     switch (end) {
       case OK -> work.done(life, result, tookUs);
--- a/src/main/java/rosecleat/core/Ledger.java
+++ b/src/main/java/rosecleat/core/Ledger.java
@@ -22,5 +22,5 @@
   void call(String id, long untilUs, byte[] body);
 
   /** Gives up the call of a request; nothing more is told of it. */
-  void giveUp(String id);
+  void cancel(String id);
 }
--- a/src/main/java/rosecleat/core/Work.java
+++ b/src/main/java/rosecleat/core/Work.java
@@ -223,7 +223,7 @@
   /** Ends a run that stands at a call: the call is given up and the run stopped. */
   void release(Life life) {
     if (life.state == Life.State.CALLING) {
-      ledger.giveUp(life.ask.id());
+      ledger.cancel(life.ask.id());
     }
     life.state = Life.State.RUNNING; // a reply that crosses finds nothing that waits for it
     stop(life);
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -72,7 +72,7 @@
   @Override public void omit(String id, long notice) { }
 
   /** One run on one connection. */
-  private final class Run implements Connection.Dialled, Connection.Owner {
+  private final class Run implements Connection.ConnectHandler, Connection.Owner {
     private final Ask ask;
     private final long startedUs = clock.getAsLong();
     private final HttpParser parser = new HttpParser(replyBytes);
--- a/src/main/java/rosecleat/index/IndexClient.java
+++ b/src/main/java/rosecleat/index/IndexClient.java
@@ -120,7 +120,7 @@
     }
   }
 
-  @Override public void giveUp(String id) {
+  @Override public void cancel(String id) {
     Call call = calls.remove(id);
     if (call != null) {
       drop(call);
@@ -138,7 +138,7 @@
 
   /** Tells the index that nobody waits any more. The connection goes too: its reply may never come, or come late. */
   private void drop(Call call) {
-    cancel(call);
+    stopTimer(call);
     waiting.remove(call);
     if (call.line != null) {
       counters.add("index.stops");
@@ -148,11 +148,11 @@
 
   private void retire(Line line) {
     lines--;
-    line.giveUp();
+    line.cancel();
     dial();
   }
 
-  private static void cancel(Call call) {
+  private static void stopTimer(Call call) {
     if (call.timer != null) {
       call.timer.cancel(false);
     }
@@ -160,7 +160,7 @@
 
   private void over(Call call, End end, byte[] reply) {
     if (calls.remove(call.id, call)) {
-      cancel(call);
+      stopTimer(call);
       waiting.remove(call);
       core.called(call.id, end, reply);
     }
@@ -173,7 +173,7 @@
     while (address != null && dialling < waiting.size() && lines + dialling < most) {
       dialling++;
       InetSocketAddress to = address;
-      Connection.dial(loop, to, DIAL_US, Connection.Limits.SMALL, new Connection.Dialled() {
+      Connection.dial(loop, to, DIAL_US, Connection.Limits.SMALL, new Connection.ConnectHandler() {
         @Override public void connected(Connection fresh) {
           dialling--;
           counters.add("index.connections");
--- a/src/main/java/rosecleat/index/Line.java
+++ b/src/main/java/rosecleat/index/Line.java
@@ -83,7 +83,7 @@
   }
 
   /** Gives up its call, and the line with it: a reply that crosses finds nobody. */
-  void giveUp() {
+  void cancel() {
     over = true;
     if (call == null) {
       connection.abort("unused"); // nothing is under way that a slow close would save, and descriptors are few
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -109,7 +109,7 @@
   }
 
   /** What becomes of an attempt to connect. */
-  public interface Dialled {
+  public interface ConnectHandler {
     /** The connection stands; call {@link #start} on it. */
     void connected(Connection connection);
 
@@ -121,7 +121,7 @@
    * Connects to an address; the outcome comes once, on the loop. Guards against a time-out that crosses the connect: the
    * one that reaches the loop first decides, so that no owner is given a connection that was closed meanwhile.
    */
-  public static void dial(EventLoop loop, InetSocketAddress to, long timeoutUs, Limits limits, Dialled outcome) {
+  public static void dial(EventLoop loop, InetSocketAddress to, long timeoutUs, Limits limits, ConnectHandler outcome) {
     AsynchronousSocketChannel channel;
     try {
       channel = AsynchronousSocketChannel.open(loop.group());
@@ -136,11 +136,11 @@
   private static final class Dial {
     private final EventLoop loop;
     private final AsynchronousSocketChannel channel;
-    private final Dialled outcome;
+    private final ConnectHandler outcome;
     private Future<?> timer;
     private boolean over;
 
-    Dial(EventLoop loop, AsynchronousSocketChannel channel, Dialled outcome) {
+    Dial(EventLoop loop, AsynchronousSocketChannel channel, ConnectHandler outcome) {
       this.loop = loop;
       this.channel = channel;
       this.outcome = outcome;
--- a/src/main/java/rosecleat/node/Rehearsal.java
+++ b/src/main/java/rosecleat/node/Rehearsal.java
@@ -58,7 +58,7 @@
 
   /** A balancer that sends all requests and counts what comes back. */
   private void balancer(NodeConfig config, InetSocketAddress to) {
-    Connection.dial(loop, to, 1_000_000, LIMITS, new Connection.Dialled() {
+    Connection.dial(loop, to, 1_000_000, LIMITS, new Connection.ConnectHandler() {
       @Override public void connected(Connection connection) {
         LineBuffer lines = new LineBuffer(1 << 16);
         connection.start(new Received(bytes -> {
--- a/src/main/java/rosecleat/node/Warmup.java
+++ b/src/main/java/rosecleat/node/Warmup.java
@@ -52,7 +52,7 @@
       calls.add(id);
     }
 
-    @Override public void giveUp(String id) { }
+    @Override public void cancel(String id) { }
   };
 
   private Warmup() { }
--- a/src/main/java/rosecleat/roster/RosterClient.java
+++ b/src/main/java/rosecleat/roster/RosterClient.java
@@ -110,7 +110,7 @@
 
   private void dial(InetSocketAddress to) {
     dialling = true;
-    Connection.dial(loop, to, REPLY_US, Connection.Limits.SMALL, new Connection.Dialled() {
+    Connection.dial(loop, to, REPLY_US, Connection.Limits.SMALL, new Connection.ConnectHandler() {
       @Override public void connected(Connection fresh) {
         dialling = false;
         if (!to.equals(address)) { // it has moved meanwhile
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -80,7 +80,7 @@
     }
     dialling = true;
     InetSocketAddress to = address;
-    Connection.dial(loop, to, DIAL_US, LIMITS, new Connection.Dialled() {
+    Connection.dial(loop, to, DIAL_US, LIMITS, new Connection.ConnectHandler() {
       @Override public void connected(Connection connection) {
         dialling = false;
         if (to.equals(address)) {
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -74,8 +74,8 @@
       orders.add("call " + id);
     }
 
-    @Override public void giveUp(String id) {
-      orders.add("giveUp " + id);
+    @Override public void cancel(String id) {
+      orders.add("cancel " + id);
     }
   };
 
@@ -230,7 +230,7 @@
     core.wants(one.id, 7, "call".getBytes());
     assertEquals("call id1", orders.get(1));
     one.handle.gone();
-    assertEquals(List.of("giveUp id1", "stop id1"), orders.subList(2, 4));
+    assertEquals(List.of("cancel id1", "stop id1"), orders.subList(2, 4));
     core.called(one.id, Ledger.End.HIT, "late".getBytes()); // crosses: nothing comes of it
     end(one, Runner.End.HALTED, null);
     assertEquals(0, core.inHand());
--- a/src/test/java/rosecleat/front/resp/PatienceTest.java
+++ b/src/test/java/rosecleat/front/resp/PatienceTest.java
@@ -29,7 +29,7 @@
   private static final Ledger NONE = new Ledger() {
     @Override public void call(String id, long untilUs, byte[] body) { }
 
-    @Override public void giveUp(String id) { }
+    @Override public void cancel(String id) { }
   };
 
   @Test void whoSaysNothingOrHalfIsClosedAndWhoAskedOnceMayStay() throws Exception {
--- a/src/test/java/rosecleat/front/resp/RespModelTest.java
+++ b/src/test/java/rosecleat/front/resp/RespModelTest.java
@@ -64,7 +64,7 @@
   private static final class NoLedger implements Ledger {
     @Override public void call(String id, long untilUs, byte[] body) { }
 
-    @Override public void giveUp(String id) { }
+    @Override public void cancel(String id) { }
   }
 
   private final Orders orders = new Orders();
--- a/src/test/java/rosecleat/net/ConnectionTest.java
+++ b/src/test/java/rosecleat/net/ConnectionTest.java
@@ -169,7 +169,7 @@
     try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
       gate.hold();
       Connection.dial(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 0,
-          Connection.Limits.SMALL, new Connection.Dialled() {
+          Connection.Limits.SMALL, new Connection.ConnectHandler() {
             @Override public void connected(Connection connection) {
               connection.start(new Connection.Owner() {
                 @Override public void received(ByteBuffer bytes) { }
--- a/src/test/java/rosecleat/runtime/RuntimeLinkTest.java
+++ b/src/test/java/rosecleat/runtime/RuntimeLinkTest.java
@@ -31,7 +31,7 @@
   private static final Ledger NONE = new Ledger() {
     @Override public void call(String id, long untilUs, byte[] body) { }
 
-    @Override public void giveUp(String id) { }
+    @Override public void cancel(String id) { }
   };
 
   private final Log log = new Log(System.err);
