--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -135,12 +135,12 @@
 
   /** Whether a request in hand goes by a number of a class. */
   public boolean usesClass(int klass) {
-    return work.all().stream().anyMatch(life -> life.ask.klass() == klass);
+    return work.all().stream().anyMatch(life -> life.request.klass() == klass);
   }
 
   /** Whether a request in hand goes by a number of a tenant. */
   public boolean usesTenant(int tenant) {
-    return work.all().stream().anyMatch(life -> life.ask.tenant() == tenant);
+    return work.all().stream().anyMatch(life -> life.request.tenant() == tenant);
   }
 
   // ---- what happens
@@ -161,12 +161,12 @@
   }
 
   /** Takes in a request; its answer comes by its front. Returns the handle to withdraw it with. */
-  public Handle submit(Ask ask) {
+  public Handle submit(Request request) {
     counters.add("requests");
     long now = clock.getAsLong();
-    Klass klass = rules.classes().get(ask.klass());
-    long waitUs = ask.waitUs() > 0 ? ask.waitUs() : klass.dueUs();
-    Life life = new Life(++lastSeq, ask, klass, tenant(ask), ask.atUs() + waitUs);
+    Klass klass = rules.classes().get(request.klass());
+    long waitUs = request.waitUs() > 0 ? request.waitUs() : klass.dueUs();
+    Life life = new Life(++lastSeq, request, klass, tenant(request), request.atUs() + waitUs);
     if (!decisions.begun()) {
       work.answer(life, new Answer.Refused(0, false));
       return () -> { };
@@ -177,13 +177,13 @@
       return () -> { };
     }
     long leftUs = Math.max(1, life.dueUs - now);
-    report(new Report.Arrived(life.seq, ask.klass(), ask.tenant(), ask.key(), leftUs, ask.kb(), ask.rank(),
-        ask.retry(), klass.keyed(), ask.caller(), Math.max(0, now - ask.atUs()), work.original(life)));
+    report(new Report.Arrived(life.seq, request.klass(), request.tenant(), request.key(), leftUs, request.kb(), request.rank(),
+        request.retry(), klass.keyed(), request.caller(), Math.max(0, now - request.atUs()), work.original(life)));
     return () -> gone(life);
   }
 
-  private String tenant(Ask ask) {
-    return ask.tenant() < rules.tenants().size() ? rules.tenants().get(ask.tenant()) : "";
+  private String tenant(Request request) {
+    return request.tenant() < rules.tenants().size() ? rules.tenants().get(request.tenant()) : "";
   }
 
   /** Withdraws a request. */
@@ -251,7 +251,7 @@
     long took = clock.getAsLong() - life.calledUs;
     if (end == Ledger.End.HIT) {
       life.state = Life.State.RUNNING;
-      life.ask.runner().give(id, reply);
+      life.request.runner().give(id, reply);
     } else {
       life.state = Life.State.AT_CALL;
     }
@@ -365,7 +365,7 @@
 
   private void obey(Order order) {
     if (order instanceof Order.Run o) {
-      with(o.id(), life -> work.run(life, life.ask.atUs() > graceEndUs));
+      with(o.id(), life -> work.run(life, life.request.atUs() > graceEndUs));
     } else if (order instanceof Order.Refuse o) {
       with(o.id(), life -> work.refuse(life, o.holdOffUs(), o.last()));
     } else if (order instanceof Order.Fail o) {
--- a/src/main/java/rosecleat/core/KeyTable.java
+++ b/src/main/java/rosecleat/core/KeyTable.java
@@ -79,13 +79,13 @@
   }
 
   private static Key key(Life life) {
-    return new Key(life.ask.kind(), life.tenant, life.ask.once());
+    return new Key(life.request.kind(), life.tenant, life.request.once());
   }
 
   /** The entry that was in force when the request came to the machine, or null. */
   Entry find(Life life) {
     Entry entry = entries.get(key(life));
-    return entry == null || life.ask.atUs() > entry.untilUs ? null : entry;
+    return entry == null || life.request.atUs() > entry.untilUs ? null : entry;
   }
 
   /** The number of the kept try that this one repeats, 0 for new work. */
@@ -131,7 +131,7 @@
   /** Whether a known request with this key carries another body: not a repeat but a mistake. */
   boolean differs(Life life) {
     Entry entry = find(life);
-    return entry != null && !Arrays.equals(entry.digest, digest(life.ask.body()));
+    return entry != null && !Arrays.equals(entry.digest, digest(life.request.body()));
   }
 
   /** Guards results against another body that is made to look the same: whoever sends it must not be served them. */
@@ -147,9 +147,9 @@
   void keep(Life life, long untilUs) {
     Key key = key(life);
     Entry entry = entries.get(key);
-    if (entry == null || life.ask.atUs() > entry.untilUs) {
+    if (entry == null || life.request.atUs() > entry.untilUs) {
       drop(entry);
-      entry = new Entry(key, digest(life.ask.body()));
+      entry = new Entry(key, digest(life.request.body()));
       entries.put(key, entry);
     }
     if (!entry.ran) {
--- a/src/main/java/rosecleat/core/Life.java
+++ b/src/main/java/rosecleat/core/Life.java
@@ -19,7 +19,7 @@
   }
 
   final long seq;
-  final Ask ask;
+  final Request request;
   /** The class it came with; settings that change later change nothing of it. */
   final Core.Klass klass;
   final String tenant;
@@ -35,9 +35,9 @@
   byte[] callBody;
   private boolean owed = true;
 
-  Life(long seq, Ask ask, Core.Klass klass, String tenant, long dueUs) {
+  Life(long seq, Request request, Core.Klass klass, String tenant, long dueUs) {
     this.seq = seq;
-    this.ask = ask;
+    this.request = request;
     this.klass = klass;
     this.tenant = tenant;
     this.dueUs = dueUs;
@@ -59,7 +59,7 @@
       return false;
     }
     owed = false;
-    ask.front().answer(answer);
+    request.front().answer(answer);
     return true;
   }
 
--- a/src/main/java/rosecleat/core/Runner.java
+++ b/src/main/java/rosecleat/core/Runner.java
@@ -19,7 +19,7 @@
   }
 
   /** Begins the run of a request whose answer is due at a time by the Unix clock in microseconds. */
-  void start(Ask ask, long dueUs);
+  void start(Request request, long dueUs);
 
   /** Stops a run; its end is told all the same. */
   void stop(String id);
--- a/src/main/java/rosecleat/core/Work.java
+++ b/src/main/java/rosecleat/core/Work.java
@@ -70,18 +70,18 @@
 
   /** Takes a request in hand; says what contradicts that, or null. */
   String take(Life life) {
-    if (byId.containsKey(life.ask.id())) { // two runs under one name could not be told apart
+    if (byId.containsKey(life.request.id())) { // two runs under one name could not be told apart
       return "a request of this id is in hand";
     }
     if (keyed(life) && keys.find(life) == null
-        && claims.look(KeyTable.name(life)) instanceof Claims.Others others && life.ask.atUs() <= others.untilUs()) {
+        && claims.look(KeyTable.name(life)) instanceof Claims.Others others && life.request.atUs() <= others.untilUs()) {
       keys.elsewhere(life, others);
     }
     if (keyed(life) && keys.differs(life)) {
       return "the key belongs to another body";
     }
     lives.put(life.seq, life);
-    byId.put(life.ask.id(), life);
+    byId.put(life.request.id(), life);
     return null;
   }
 
@@ -147,7 +147,7 @@
     life.ran = true;
     life.startedUs = clock.getAsLong();
     counters.add("starts");
-    life.ask.runner().start(life.ask, life.dueUs);
+    life.request.runner().start(life.request, life.dueUs);
   }
 
   /**
@@ -155,11 +155,11 @@
    * what is not run here for running until it hears otherwise.
    */
   private boolean claimed(Life life) {
-    Claims.Standing standing = claims.claim(KeyTable.name(life), KeyTable.digest(life.ask.body()), keyUntil(life));
+    Claims.Standing standing = claims.claim(KeyTable.name(life), KeyTable.digest(life.request.body()), keyUntil(life));
     if (standing instanceof Claims.Mine) {
       return true;
     }
-    if (standing instanceof Claims.Others others && life.ask.atUs() <= others.untilUs()) {
+    if (standing instanceof Claims.Others others && life.request.atUs() <= others.untilUs()) {
       KeyTable.Entry entry = keys.elsewhere(life, others);
       if (keys.differs(life)) {
         answer(life, failed(Progress.NOT_SENT, "the key belongs to another body", Answer.Cause.CALLER));
@@ -195,7 +195,7 @@
   }
 
   private long keyUntil(Life life) {
-    return life.ask.atUs() + life.klass.windowUs() + rules.slackUs() + SOCKET_SLACK_US;
+    return life.request.atUs() + life.klass.windowUs() + rules.slackUs() + SOCKET_SLACK_US;
   }
 
   /** Only a try that never ran is turned away; one that did has failed, whatever the module calls it. */
@@ -223,7 +223,7 @@
   /** Ends a run that stands at a call: the call is given up and the run stopped. */
   void release(Life life) {
     if (life.state == Life.State.CALLING) {
-      ledger.cancel(life.ask.id());
+      ledger.cancel(life.request.id());
     }
     life.state = Life.State.RUNNING; // a reply that crosses finds nothing that waits for it
     stop(life);
@@ -233,7 +233,7 @@
     if (life.ran && !life.stopping && life.state != Life.State.HELD && life.state != Life.State.OVER) {
       life.stopping = true;
       counters.add("stops");
-      life.ask.runner().stop(life.ask.id());
+      life.request.runner().stop(life.request.id());
     }
   }
 
@@ -244,14 +244,14 @@
     life.state = Life.State.CALLING;
     life.calledUs = clock.getAsLong();
     counters.add("calls");
-    ledger.call(life.ask.id(), untilUs, life.callBody);
+    ledger.call(life.request.id(), untilUs, life.callBody);
   }
 
   void skip(Life life) {
     if (life.state == Life.State.AT_CALL) {
       life.state = Life.State.RUNNING;
       counters.add("skips");
-      life.ask.runner().omit(life.ask.id(), life.notice);
+      life.request.runner().omit(life.request.id(), life.notice);
     }
   }
 
@@ -374,7 +374,7 @@
   void over(Life life) {
     life.state = Life.State.OVER;
     lives.remove(life.seq);
-    byId.remove(life.ask.id(), life);
+    byId.remove(life.request.id(), life);
     if (life.elsewhere) { // the module takes it for running, and would do so for ever
       life.elsewhere = false;
       reports.accept(new Report.Ended(life.seq, RunOutcome.MOOT, 0));
--- a/src/main/java/rosecleat/front/resp/Fields.java
+++ b/src/main/java/rosecleat/front/resp/Fields.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Front;
 import rosecleat.core.Runner;
@@ -13,7 +13,7 @@
 /** Reads the fields of a request; what is wrong with them is a value. */
 final class Fields {
   /** A request as read, or what is wrong with it. */
-  record Outcome(Ask ask, String wrong) { }
+  record Outcome(Request request, String wrong) { }
 
   private static final int LONGEST_BODY = 2 << 10;
   private static final long LONGEST_WAIT_MS = 3_600_000;
@@ -56,13 +56,13 @@
       return wrong("its fields are no pairs");
     }
     try {
-      return new Outcome(ask(klass, fields, body, front), null);
+      return new Outcome(request(klass, fields, body, front), null);
     } catch (IllegalArgumentException e) { // a bad field is the caller's mistake and answered as such
       return wrong(e.getMessage());
     }
   }
 
-  private Ask ask(int klass, Map<String, String> fields, byte[] body, Front front) {
+  private Request request(int klass, Map<String, String> fields, byte[] body, Front front) {
     String id = need(fields, "id");
     valid("id", Words.hex(id, 16, 16));
     long at = number("at", need(fields, "at"), 15);
@@ -82,7 +82,7 @@
     valid("once", once == null || Words.name(once));
     String key = fields.getOrDefault("key", "0");
     valid("key", Words.hex(key, 1, 16));
-    return new Ask(id, at * 1000, waitMs * 1000, klass, grade.name(), tenant, from, retry == 1, kb, rank, once,
+    return new Request(id, at * 1000, waitMs * 1000, klass, grade.name(), tenant, from, retry == 1, kb, rank, once,
         Long.parseUnsignedLong(key, 16), body, Map.of(), runner, front);
   }
 
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -265,7 +265,7 @@
       }
       errors = 0;
       honest = true;
-      Core.Handle handle = core.submit(read.ask());
+      Core.Handle handle = core.submit(read.request());
       if (!answered[0]) {
         open.put(tag, handle);
       }
--- a/src/main/java/rosecleat/front/resp/RespWarmup.java
+++ b/src/main/java/rosecleat/front/resp/RespWarmup.java
@@ -36,7 +36,7 @@
       tags.use(n);
       Fields.Outcome read = fields.read(words, answer -> RespReplies.answer(n, answer, core.credit()));
       if (read.wrong() == null) {
-        core.submit(read.ask());
+        core.submit(read.request());
       }
       return read.wrong() == null;
     } catch (RespParser.Malformed e) {
--- a/src/main/java/rosecleat/front/uwsgi/Requests.java
+++ b/src/main/java/rosecleat/front/uwsgi/Requests.java
@@ -13,14 +13,14 @@
 import rosecleat.config.Backend;
 import rosecleat.config.BrokerConfig;
 import rosecleat.config.BrokerConfig.Operation;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Front;
 import rosecleat.core.Runner;
 
 /** Turns the vars and the body of a uwsgi request into the core's request, by its contract. */
 final class Requests {
   /** The core's request with its operation, or the reply to what is wrong. */
-  record Outcome(Ask ask, Operation operation, HttpReply wrong) { }
+  record Outcome(Request request, Operation operation, HttpReply wrong) { }
 
   /** Callers of this front are numbered from here on, one a team. */
   private static final int CALLERS = 1_000_000;
@@ -92,12 +92,12 @@
     }
     long waitUs = wait.isEmpty() ? operation.deadlineUs()
         : Math.min(operation.deadlineUs(), 1000 * Long.parseLong(wait));
-    Ask ask = new Ask(id(), nowUs, waitUs, operation.klass(), operation.kind(), tenant, caller(team),
+    Request request = new Request(id(), nowUs, waitUs, operation.klass(), operation.kind(), tenant, caller(team),
         packet.var(config.vars().retry()).equals("1"), operation.kb(), operation.rank(),
         operation.keyed() ? key : null, 0, body,
         operation.backend() == null ? Map.of() : passedOn(packet, operation, nowUs),
         operation.backend() == null ? runtime : operation.backend() instanceof Backend.Sample ? samples : backends, front);
-    return new Outcome(ask, operation, null);
+    return new Outcome(request, operation, null);
   }
 
   /** What the runtime is given: the body as it came, or the parameters as JSON where there is no body. */
--- a/src/main/java/rosecleat/front/uwsgi/SampleRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/SampleRunner.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.Future;
 import rosecleat.config.Backend;
 import rosecleat.config.BrokerConfig.Operation;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Runner;
 import rosecleat.net.EventLoop;
@@ -35,18 +35,18 @@
     samples = Map.copyOf(fresh);
   }
 
-  @Override public void start(Ask ask, long dueUs) {
-    Backend.Sample sample = samples.get(ask.attributes().get(UwsgiRunner.OPERATION));
+  @Override public void start(Request request, long dueUs) {
+    Backend.Sample sample = samples.get(request.attributes().get(UwsgiRunner.OPERATION));
     if (sample == null) { // its operation is no sample any more
-      loop.execute(() -> core.ended(ask.id(), End.UNREACHED, null, 0));
+      loop.execute(() -> core.ended(request.id(), End.UNREACHED, null, 0));
       return;
     }
     byte[] reply = new ServiceReply(200, List.of(new ServiceReply.Header("Content-Type", sample.contentType())),
         sample.body()).result();
-    runs.put(ask.id(), loop.after(sample.tookUs(), () -> {
-      runs.remove(ask.id());
+    runs.put(request.id(), loop.after(sample.tookUs(), () -> {
+      runs.remove(request.id());
       core.counters().add("sample.runs");
-      core.ended(ask.id(), End.OK, reply, sample.tookUs());
+      core.ended(request.id(), End.OK, reply, sample.tookUs());
     }));
   }
 
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFront.java
@@ -173,8 +173,8 @@
         return;
       }
       operation = read.operation();
-      dueUs = read.ask().atUs() + read.ask().waitUs();
-      Core.Handle submitted = core.submit(read.ask());
+      dueUs = read.request().atUs() + read.request().waitUs();
+      Core.Handle submitted = core.submit(read.request());
       if (!answered) {
         handle = submitted;
       }
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.LongSupplier;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Fault;
@@ -47,9 +47,9 @@
     counters = core.counters();
   }
 
-  @Override public void start(Ask ask, long dueUs) {
-    Run run = new Run(ask);
-    runs.put(ask.id(), run);
+  @Override public void start(Request request, long dueUs) {
+    Run run = new Run(request);
+    runs.put(request.id(), run);
     run.timer = loop.after(dueUs + LATE_US - run.startedUs, run::late);
     Connection.Limits limits = new Connection.Limits(8 << 10, 64 << 10, 1 << 20, 5_000_000);
     InetSocketAddress at = run.place();
@@ -73,7 +73,7 @@
 
   /** One run on one connection. */
   private final class Run implements Connection.ConnectHandler, Connection.Owner {
-    private final Ask ask;
+    private final Request request;
     private final long startedUs = clock.getAsLong();
     private final HttpParser parser = new HttpParser(replyBytes);
     private Connection connection;
@@ -82,17 +82,17 @@
     private Instances.Lease lease;
     private int received = -1;
 
-    Run(Ask ask) {
-      this.ask = ask;
+    Run(Request request) {
+      this.request = request;
     }
 
     /** Where it runs, chosen now: since it arrived instances may have come and gone. Null for nowhere. */
     private InetSocketAddress place() {
-      Map<String, String> known = ask.attributes();
+      Map<String, String> known = request.attributes();
       String service = known.get(SERVICE);
       if (service != null) {
-        lease = instances.lease(new Instances.Run(service, known.get(OPERATION), ask.once(),
-            ask.once() == null ? 0 : Long.parseLong(known.get(UNTIL)), ask.body().length), startedUs);
+        lease = instances.lease(new Instances.Run(service, known.get(OPERATION), request.once(),
+            request.once() == null ? 0 : Long.parseLong(known.get(UNTIL)), request.body().length), startedUs);
         return lease == null ? null : lease.address();
       }
       String backend = known.get(BACKEND);
@@ -106,7 +106,7 @@
         return;
       }
       connection = fresh;
-      ByteBuffer packet = new UwsgiPacket(UwsgiPacket.REQUEST, 0, vars(), ask.body()).encode();
+      ByteBuffer packet = new UwsgiPacket(UwsgiPacket.REQUEST, 0, vars(), request.body()).encode();
       if (packet == null) {
         end(End.UNREACHED, null);
         return;
@@ -117,12 +117,12 @@
     }
 
     private Map<String, String> vars() {
-      Map<String, String> vars = new HashMap<>(ask.attributes());
+      Map<String, String> vars = new HashMap<>(request.attributes());
       vars.keySet().removeAll(OURS);
-      vars.put("CONTENT_LENGTH", Integer.toString(ask.body().length));
-      vars.put("HTTP_X_REQUEST_ID", ask.id());
+      vars.put("CONTENT_LENGTH", Integer.toString(request.body().length));
+      vars.put("HTTP_X_REQUEST_ID", request.id());
       vars.put("HTTP_X_DEADLINE_MS",
-          Long.toString(Math.max(1, (ask.atUs() + ask.waitUs() - clock.getAsLong()) / 1000)));
+          Long.toString(Math.max(1, (request.atUs() + request.waitUs() - clock.getAsLong()) / 1000)));
       return vars;
     }
 
@@ -166,7 +166,7 @@
       }
       over = true;
       timer.cancel(false);
-      runs.remove(ask.id());
+      runs.remove(request.id());
       if (connection != null) {
         connection.abort("its run is over");
       }
@@ -175,7 +175,7 @@
       if (lease != null) {
         lease.ended(how, tookUs, received);
       }
-      core.ended(ask.id(), how, result, tookUs);
+      core.ended(request.id(), how, result, tookUs);
     }
   }
 }
--- a/src/main/java/rosecleat/node/Warmup.java
+++ b/src/main/java/rosecleat/node/Warmup.java
@@ -4,7 +4,7 @@
 import java.io.PrintStream;
 import java.util.ArrayDeque;
 import rosecleat.config.NodeConfig;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Ledger;
@@ -25,15 +25,15 @@
   private static final long STEP_US = 5_000;
   private static final byte[] REPLY = new byte[200];
 
-  private final ArrayDeque<Ask> started = new ArrayDeque<>();
+  private final ArrayDeque<Request> started = new ArrayDeque<>();
   private final ArrayDeque<String> calls = new ArrayDeque<>();
   private final RuntimeWarmup notices = new RuntimeWarmup();
   private long nowUs = 1_000_000_000_000_000L;
   private Core core;
 
   private final Runner runner = new Runner() {
-    @Override public void start(Ask ask, long dueUs) {
-      started.add(ask);
+    @Override public void start(Request request, long dueUs) {
+      started.add(request);
     }
 
     @Override public void stop(String id) { }
@@ -83,14 +83,14 @@
 
   private void finish() {
     while (!started.isEmpty()) {
-      Ask ask = started.remove();
-      if (core.calls(ask.klass())) {
-        core.wants(ask.id(), 1, notices.notice("wants", ask.id(), ask.body()));
+      Request request = started.remove();
+      if (core.calls(request.klass())) {
+        core.wants(request.id(), 1, notices.notice("wants", request.id(), request.body()));
       }
       while (!calls.isEmpty()) {
         core.called(calls.remove(), Ledger.End.HIT, REPLY);
       }
-      core.ended(ask.id(), Runner.End.OK, notices.notice("end", ask.id(), REPLY), 20_000);
+      core.ended(request.id(), Runner.End.OK, notices.notice("end", request.id(), REPLY), 20_000);
     }
   }
 }
--- a/src/main/java/rosecleat/runtime/NoRuntime.java
+++ b/src/main/java/rosecleat/runtime/NoRuntime.java
@@ -1,6 +1,6 @@
 package rosecleat.runtime;
 
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Runner;
 import rosecleat.net.EventLoop;
@@ -16,8 +16,8 @@
     this.core = core;
   }
 
-  @Override public void start(Ask ask, long dueUs) {
-    loop.execute(() -> core.ended(ask.id(), End.UNREACHED, null, 0));
+  @Override public void start(Request request, long dueUs) {
+    loop.execute(() -> core.ended(request.id(), End.UNREACHED, null, 0));
   }
 
   @Override public void stop(String id) { }
--- a/src/main/java/rosecleat/runtime/RuntimeLink.java
+++ b/src/main/java/rosecleat/runtime/RuntimeLink.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Fault;
@@ -171,11 +171,11 @@
    * on, nothing happens then. One that had ended between that reading and the repeat would run twice, which a keyed
    * request must not. Where each run stands still at a call first, it can't end unseen; elsewhere it is not repeated.
    */
-  @Override public void start(Ask ask, long dueUs) {
-    String command = "{\"type\":\"start\",\"job\":\"" + ask.id() + "\",\"kind\":\"" + ask.kind() + "\",\"data\":\""
-        + base64(ask.body()) + "\"}";
-    if (!send(ask.id(), command, ask.once() == null || core.calls(ask.klass()))) {
-      loop.execute(() -> core.ended(ask.id(), End.UNREACHED, null, 0)); // told like any other end, not inside the order
+  @Override public void start(Request request, long dueUs) {
+    String command = "{\"type\":\"start\",\"job\":\"" + request.id() + "\",\"kind\":\"" + request.kind() + "\",\"data\":\""
+        + base64(request.body()) + "\"}";
+    if (!send(request.id(), command, request.once() == null || core.calls(request.klass()))) {
+      loop.execute(() -> core.ended(request.id(), End.UNREACHED, null, 0)); // told like any other end, not inside the order
     }
   }
 
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -52,8 +52,8 @@
   private int ids;
 
   private final Runner runner = new Runner() {
-    @Override public void start(Ask ask, long dueUs) {
-      orders.add("start " + ask.id());
+    @Override public void start(Request request, long dueUs) {
+      orders.add("start " + request.id());
     }
 
     @Override public void stop(String id) {
@@ -104,7 +104,7 @@
   private Try send(int klass, String once, String body) {
     Try one = new Try();
     one.id = "id" + ++ids;
-    one.handle = core.submit(new Ask(one.id, now, 1_200_000, klass, List.of("balance-check", "card-refresh",
+    one.handle = core.submit(new Request(one.id, now, 1_200_000, klass, List.of("balance-check", "card-refresh",
         "card-load").get(klass), 0, 1, false, 10, 0.5, once, 0, body.getBytes(), Map.of(), runner, one));
     return one;
   }
@@ -185,7 +185,7 @@
     long arrived = now + WINDOW_US;
     pass(WINDOW_US + 600_000); // the entry has lapsed by the clock, but not when this try came
     Try late = new Try();
-    core.submit(new Ask("late", arrived, 1_200_000, 2, "card-load", 0, 1, false, 10, 0.5, "a", 0,
+    core.submit(new Request("late", arrived, 1_200_000, 2, "card-load", 0, 1, false, 10, 0.5, "a", 0,
         "load a".getBytes(), Map.of(), runner, late));
     assertArrayEquals("done".getBytes(), late.served());
     assertEquals(1, starts());
--- a/src/test/java/rosecleat/front/resp/PatienceTest.java
+++ b/src/test/java/rosecleat/front/resp/PatienceTest.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import rosecleat.config.NodeConfig;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Ledger;
@@ -94,7 +94,7 @@
 
   /** A runner that begins all and ends nothing. */
   private static final class Hold implements Runner {
-    @Override public void start(Ask ask, long dueUs) { }
+    @Override public void start(Request request, long dueUs) { }
 
     @Override public void stop(String id) { }
 
--- a/src/test/java/rosecleat/front/resp/RespModelTest.java
+++ b/src/test/java/rosecleat/front/resp/RespModelTest.java
@@ -23,7 +23,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import rosecleat.config.NodeConfig;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Ledger;
@@ -48,8 +48,8 @@
   private static final class Orders implements Runner {
     final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
 
-    @Override public void start(Ask ask, long dueUs) {
-      seen.add("start " + ask.id() + " " + new String(ask.body(), StandardCharsets.UTF_8));
+    @Override public void start(Request request, long dueUs) {
+      seen.add("start " + request.id() + " " + new String(request.body(), StandardCharsets.UTF_8));
     }
 
     @Override public void stop(String id) {
--- a/src/test/java/rosecleat/node/LinksTest.java
+++ b/src/test/java/rosecleat/node/LinksTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import rosecleat.config.NodeConfig;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Runner;
@@ -104,7 +104,7 @@
 
   /** A runner that throws when it is first asked for gauges. */
   private record FailingOnce(AtomicBoolean thrown) implements Runner {
-    @Override public void start(Ask ask, long dueUs) { }
+    @Override public void start(Request ask, long dueUs) { }
 
     @Override public void stop(String id) { }
 
--- a/src/test/java/rosecleat/runtime/RuntimeLinkTest.java
+++ b/src/test/java/rosecleat/runtime/RuntimeLinkTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import rosecleat.config.NodeConfig;
-import rosecleat.core.Ask;
+import rosecleat.core.Request;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
 import rosecleat.core.Ledger;
@@ -72,7 +72,7 @@
 
   private void start(String id) {
     gate.on(() -> {
-      link.start(new Ask(id, now.get(), 900_000, 0, "balance-check", 0, 1, false, 1, 0, null, 0,
+      link.start(new Request(id, now.get(), 900_000, 0, "balance-check", 0, 1, false, 1, 0, null, 0,
           id.getBytes(StandardCharsets.UTF_8), Map.of(), link, answer -> { }), now.get() + 900_000);
       return 0;
     });
