--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -16,10 +16,10 @@
  */
 public final class Core {
   /** What the core needs to know of a class; {@code calls} where each run stands still at a call before it ends. */
-  public record Klass(String name, boolean keyed, boolean calls, long windowUs, long dueUs) { }
+  public record RequestClass(String name, boolean keyed, boolean calls, long windowUs, long dueUs) { }
 
   /** Figures the core works under: microseconds and bytes; classes, and the names of tenants, by their numbers. */
-  public record Rules(int cores, List<Klass> classes, List<String> tenants, long slackUs, long graceUs, long idleUs, long resultBytes) { }
+  public record Rules(int cores, List<RequestClass> classes, List<String> tenants, long slackUs, long graceUs, long idleUs, long resultBytes) { }
 
   private static final long TICK_US = 20_000;
   private static final long EXPIRE_US = 1_000_000;
@@ -100,7 +100,7 @@
 
   /** The longest time that the rules give a request (us). */
   public long longestDueUs() {
-    return rules.classes().stream().mapToLong(Klass::dueUs).max().orElse(0);
+    return rules.classes().stream().mapToLong(RequestClass::dueUs).max().orElse(0);
   }
 
   /** Requests whose answer is owed, and runs that go on. */
@@ -164,7 +164,7 @@
   public Handle submit(Request request) {
     counters.add("requests");
     long now = clock.getAsLong();
-    Klass klass = rules.classes().get(request.klass());
+    RequestClass klass = rules.classes().get(request.klass());
     long waitUs = request.waitUs() > 0 ? request.waitUs() : klass.dueUs();
     Life life = new Life(++lastSeq, request, klass, tenant(request), request.atUs() + waitUs);
     if (!decisions.begun()) {
--- a/src/main/java/rosecleat/core/Life.java
+++ b/src/main/java/rosecleat/core/Life.java
@@ -21,7 +21,7 @@
   final long seq;
   final Request request;
   /** The class it came with; settings that change later change nothing of it. */
-  final Core.Klass klass;
+  final Core.RequestClass klass;
   final String tenant;
   final long dueUs;
   State state = State.HELD;
@@ -35,7 +35,7 @@
   byte[] callBody;
   private boolean owed = true;
 
-  Life(long seq, Request request, Core.Klass klass, String tenant, long dueUs) {
+  Life(long seq, Request request, Core.RequestClass klass, String tenant, long dueUs) {
     this.seq = seq;
     this.request = request;
     this.klass = klass;
--- a/src/main/java/rosecleat/core/Work.java
+++ b/src/main/java/rosecleat/core/Work.java
@@ -43,7 +43,7 @@
   /** Other rules from now on; what is in hand keeps its class. */
   void use(Core.Rules fresh) {
     rules = fresh;
-    keys.keepLate(fresh.classes().stream().mapToLong(Core.Klass::dueUs).max().orElse(0));
+    keys.keepLate(fresh.classes().stream().mapToLong(Core.RequestClass::dueUs).max().orElse(0));
   }
 
   // ---- what is in hand
--- a/src/main/java/rosecleat/front/resp/Fields.java
+++ b/src/main/java/rosecleat/front/resp/Fields.java
@@ -20,10 +20,10 @@
 
   private final Map<String, Integer> classes = new HashMap<>();
   private final Map<String, Integer> tenants = new HashMap<>();
-  private final List<Core.Klass> grades;
+  private final List<Core.RequestClass> grades;
   private final Runner runner;
 
-  Fields(List<Core.Klass> grades, List<String> tenantNames, Runner runner) {
+  Fields(List<Core.RequestClass> grades, List<String> tenantNames, Runner runner) {
     this.grades = grades;
     this.runner = runner;
     for (int n = 0; n < grades.size(); n++) {
@@ -77,7 +77,7 @@
     valid("rank", rank >= 0 && rank < 1);
     long retry = number("retry", fields.getOrDefault("retry", "0"), 1);
     valid("retry", retry <= 1);
-    Core.Klass grade = grades.get(klass);
+    Core.RequestClass grade = grades.get(klass);
     String once = grade.keyed() ? need(fields, "once") : null;
     valid("once", once == null || Words.name(once));
     String key = fields.getOrDefault("key", "0");
--- a/src/main/java/rosecleat/front/resp/RespFront.java
+++ b/src/main/java/rosecleat/front/resp/RespFront.java
@@ -95,7 +95,7 @@
   }
 
   /** The names that requests may use, by number, null where a number has none; and what runs them. */
-  public record Names(List<Core.Klass> classes, List<String> tenants, Runner runner) { }
+  public record Names(List<Core.RequestClass> classes, List<String> tenants, Runner runner) { }
 
   /** The port it listens on. */
   public int port() {
--- a/src/main/java/rosecleat/front/resp/RespWarmup.java
+++ b/src/main/java/rosecleat/front/resp/RespWarmup.java
@@ -10,7 +10,7 @@
   private final RespParser parser = new RespParser(4 << 10);
   private final Tags tags = new Tags();
   private final Fields fields;
-  private final List<Core.Klass> classes;
+  private final List<Core.RequestClass> classes;
   private final List<String> tenants;
 
   /** Requests by these names. */
@@ -22,7 +22,7 @@
 
   /** Hands request number {@code n}, from 1 upward, to a core; false where it could not be read. */
   public boolean request(Core core, int n, long nowUs) {
-    Core.Klass klass = classes.get(n % classes.size());
+    Core.RequestClass klass = classes.get(n % classes.size());
     String id = String.format("%016x", n);
     String told = "id=" + id + ",at=" + nowUs / 1000 + ",from=" + n % 8 + ",wait=" + klass.dueUs() / 1000
         + ",kb=10.5,rank=0.5000" + (tenants.isEmpty() ? "" : ",tenant=" + tenants.get(n % tenants.size()))
--- a/src/main/java/rosecleat/node/Numbering.java
+++ b/src/main/java/rosecleat/node/Numbering.java
@@ -85,14 +85,14 @@
         s.slackUs(), s.graceUs(), s.idleUs(), RESULT_BYTES);
   }
 
-  private static Core.Klass klass(Term term) {
-    return new Core.Klass(term.name, term.grade.effect() == PolicyApi.Effect.KEYED, term.grade.calls(),
+  private static Core.RequestClass klass(Term term) {
+    return new Core.RequestClass(term.name, term.grade.effect() == PolicyApi.Effect.KEYED, term.grade.calls(),
         term.grade.windowUs(), term.grade.dueUs());
   }
 
   /** The names that balancers' requests may use. */
   RespFront.Names names(Runner runner) {
-    List<Core.Klass> named = new ArrayList<>();
+    List<Core.RequestClass> named = new ArrayList<>();
     List<String> current = classes.names();
     for (int n = 0; n < current.size(); n++) {
       Term term = classes.terms().get(n);
--- a/src/test/java/rosecleat/core/CoreTest.java
+++ b/src/test/java/rosecleat/core/CoreTest.java
@@ -90,9 +90,9 @@
 
   private Core fresh(long resultBytes) {
     NodeConfig config = TestSite.config(0, 0, 0, 3_000, 1_500);
-    List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, false, 0, 1_200_000),
-        new Core.Klass("card-refresh", false, true, 0, 1_200_000),
-        new Core.Klass("card-load", true, false, WINDOW_US, 1_200_000));
+    List<Core.RequestClass> classes = List.of(new Core.RequestClass("balance-check", false, false, 0, 1_200_000),
+        new Core.RequestClass("card-refresh", false, true, 0, 1_200_000),
+        new Core.RequestClass("card-load", true, false, WINDOW_US, 1_200_000));
     return new Core(new Core.Rules(TestSite.CORES, classes, List.of("big", "small"), 80_000, 1_500_000, 30_000_000, resultBytes),
         new Decisions(config.start().settings(), config.start().gauges(), 5), ledger, () -> now, new Counters(), log);
   }
--- a/src/test/java/rosecleat/front/resp/PatienceTest.java
+++ b/src/test/java/rosecleat/front/resp/PatienceTest.java
@@ -167,8 +167,8 @@
     });
   }
 
-  private static List<Core.Klass> classes() {
-    return List.of(new Core.Klass("balance-check", false, false, 0, 1_000_000));
+  private static List<Core.RequestClass> classes() {
+    return List.of(new Core.RequestClass("balance-check", false, false, 0, 1_000_000));
   }
 
   private static Core core(AtomicLong now, long idleUs, Log log) {
--- a/src/test/java/rosecleat/front/resp/RespModelTest.java
+++ b/src/test/java/rosecleat/front/resp/RespModelTest.java
@@ -83,9 +83,9 @@
       NodeConfig config = TestSite.config(0, 0, 0, 3_000, 1_500);
       loop = new EventLoop(log);
       Clock clock = new Clock();
-      List<Core.Klass> classes = List.of(new Core.Klass("balance-check", false, false, 0, 60_000_000),
-          new Core.Klass("card-refresh", false, true, 0, 60_000_000),
-          new Core.Klass("card-load", true, false, 4_000_000, 60_000_000));
+      List<Core.RequestClass> classes = List.of(new Core.RequestClass("balance-check", false, false, 0, 60_000_000),
+          new Core.RequestClass("card-refresh", false, true, 0, 60_000_000),
+          new Core.RequestClass("card-load", true, false, 4_000_000, 60_000_000));
       core = new Core(new Core.Rules(TestSite.CORES, classes, List.of("big", "small"), 80_000, 1_500_000, 30_000_000, 1 << 20),
           new Decisions(config.start().settings(), config.start().gauges(), 5), new NoLedger(), clock,
           new Counters(), log);
--- a/src/test/java/rosecleat/runtime/RuntimeLinkTest.java
+++ b/src/test/java/rosecleat/runtime/RuntimeLinkTest.java
@@ -47,7 +47,7 @@
     loop = new EventLoop(log);
     gate = new LoopGate(loop);
     NodeConfig config = TestSite.config(0, 0, 0, 3_000, 1_500);
-    core = new Core(new Core.Rules(2, List.of(new Core.Klass("balance-check", false, false, 0, 1_000_000)), List.of("small"),
+    core = new Core(new Core.Rules(2, List.of(new Core.RequestClass("balance-check", false, false, 0, 1_000_000)), List.of("small"),
         80_000, 1_500_000, 30_000_000, 1 << 20), new Decisions(config.start().settings(), config.start().gauges(), 5), NONE,
         now::get, counters, log);
     link = new RuntimeLink(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), runtime.port()), core, now::get, log);
