Tell no end while an owner still reads what came: what stands behind the reason to close is heard

An owner that closes in the middle of them with nothing queued (RespFront on an array without tag, its BYE sent long before) told the end at once, and whole messages behind it in the same bytes were dropped.

Line at fault: Connection.received. Change: `arrived` holds until the owner has taken all. The new test in ConnectionTest fails before.

--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -291,7 +291,6 @@
 
   private void received(int count) {
     reading = false;
-    arrived = false;
     if (state == State.CLOSED) {
       return;
     }
@@ -309,6 +308,7 @@
       StackTraceElement[] trace = e.getStackTrace();
       end(new Fault(Progress.SENT, "failed here: " + e + (trace.length == 0 ? "" : " at " + trace[0])), false);
     }
+    arrived = false; // and not before: its owner may close in the middle of what came
     read();
     tellEnd();
   }
--- a/src/test/java/rosecleat/net/ConnectionTest.java
+++ b/src/test/java/rosecleat/net/ConnectionTest.java
@@ -29,7 +29,7 @@
   private final CompletableFuture<Fault> ended = new CompletableFuture<>();
   private boolean owes;
 
-  /** Echoes what comes; a "q" is taken and owed an answer, which {@link #answer} gives. */
+  /** Echoes what comes; a "q" is taken and owed an answer, which {@link #answer} gives, and a "c" is a reason to close. */
   private final class Echo implements Connection.Owner {
     private final Connection connection;
 
@@ -47,7 +47,9 @@
       while (bytes.hasRemaining()) {
         byte word = bytes.get();
         owes |= word == 'q';
-        if (word != 'q') {
+        if (word == 'c') {
+          connection.closeGracefully();
+        } else if (word != 'q') {
           connection.write(ByteBuffer.wrap(new byte[] {word}));
         }
       }
@@ -103,6 +105,15 @@
     }
   }
 
+  /** Guards what stands behind the reason for a close, in the same bytes: it has come, and its owner is about to read it. */
+  @Test void whatStandsBehindTheReasonToCloseIsAnswered() throws Exception {
+    try (Socket peer = connect()) {
+      peer.getOutputStream().write(new byte[] {'c', 'x'});
+      assertEquals('x', peer.getInputStream().read());
+      assertEquals(-1, peer.getInputStream().read());
+    }
+  }
+
   /** Guards requests that run while their connection is closed, and those that still come meanwhile. */
   @Test void aCloseWaitsForWhatIsOwedAndHearsWhatComesMeanwhile() throws Exception {
     try (Socket peer = connect()) {
