Send a uwsgi service bodies of any allowed length, and say never reached where nothing was sent

Seen while looking for other places that drop the result of Connection.write (IndexClient's fault): UwsgiRunner.connected wrote its packet into a queue of 1 MiB, whatever body_bytes allows. A longer one was refused, the connection ended, and the run counted as cut off, "may have run", though not a byte had left; a keyed one was never tried again.

Lines at fault: UwsgiRunner.start (limits), Run.connected. Change: the queue holds the body and its vars; a refused write is told as never reached. UwsgiRunnerTest (2 MiB) fails before: backend.cut=1. UwsgiFrontTest and MixedLoadTest pass.

--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -26,6 +26,8 @@
 
   private static final Set<String> OURS = Set.of(BACKEND, SERVICE, OPERATION, UNTIL);
   private static final long DIAL_US = 1_000_000;
+  /** What a connection's queue holds beside a body: a packet's vars are 64 KiB at the most. */
+  private static final int HEAD_ROOM = 128 << 10;
   /** A run is given up so long after its answer was due (us). */
   private static final long LATE_US = 1_000_000;
 
@@ -51,7 +53,7 @@
     Run run = new Run(request);
     runs.put(request.id(), run);
     run.timer = loop.after(dueUs + LATE_US - run.startedUs, run::late);
-    Connection.Limits limits = new Connection.Limits(8 << 10, 64 << 10, 1 << 20, 5_000_000);
+    Connection.Limits limits = new Connection.Limits(8 << 10, 64 << 10, HEAD_ROOM + request.body().length, 5_000_000);
     InetSocketAddress at = run.place();
     if (at == null) { // told like any other end, not inside the order
       loop.execute(() -> run.end(End.UNREACHED, null));
@@ -112,7 +114,10 @@
         return;
       }
       fresh.start(this);
-      fresh.write(packet);
+      if (!fresh.write(packet)) { // not a byte of it was sent
+        end(End.UNREACHED, null);
+        return;
+      }
       counters.add("backend.sent");
     }
 
