Start a node with one thread less: the warm-up's log goes nowhere and needs none

Change: Log.silent() has no thread. Beside it, the shorter wait for the last lines that gave every log is only the leaving process's (LogTest could have missed a line on a busy machine).

LogTest.aSilentLogHasNoThread has no counterpart before.

--- a/src/main/java/rosecleat/log/Log.java
+++ b/src/main/java/rosecleat/log/Log.java
@@ -13,7 +13,7 @@
 public final class Log implements AutoCloseable {
   private static final int WAITING = 1024;
   private static final int WIDEST = 400;
-  private static final long LAST_MS = 50;
+  private static final long LAST_MS = 200;
   /** A pause behind each line: what floods the log is dropped here, not written. */
   private static final long PACE_MS = 2;
 
@@ -28,6 +28,17 @@
     this(out, WAITING);
   }
 
+  /** A logger that keeps nothing, and has no thread. */
+  public static Log silent() {
+    return new Log();
+  }
+
+  private Log() {
+    out = null;
+    lines = null;
+    writer = null;
+  }
+
   Log(PrintStream out, int waiting) {
     this.out = out;
     lines = new ArrayBlockingQueue<>(waiting);
@@ -52,6 +63,9 @@
   }
 
   private void add(String level, String line) {
+    if (writer == null) {
+      return;
+    }
     String cut = line.length() > WIDEST ? line.substring(0, WIDEST) + "..." : line;
     if (!lines.offer(Instant.now() + " " + level + " " + clean(cut))) {
       dropped.incrementAndGet();
@@ -85,11 +99,19 @@
     }
   }
 
-  /** Writes what still waits, for 50 ms at the most: a process that leaves is killed shortly after. */
+  /** Writes what still waits, for a fifth of a second at most. */
   @Override public void close() {
+    close(LAST_MS);
+  }
+
+  /** Writes what still waits, for so long at the most (ms). */
+  public void close(long mostMs) {
     closed = true;
+    if (writer == null) {
+      return;
+    }
     try {
-      writer.join(LAST_MS);
+      writer.join(mostMs);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/src/main/java/rosecleat/node/Serving.java
+++ b/src/main/java/rosecleat/node/Serving.java
@@ -117,7 +117,7 @@
       Thread.currentThread().interrupt();
     }
     leaving.settle(Node.SETTLE_MS);
-    log.close();
+    log.close(Node.SETTLE_MS); // it is killed shortly after
     Runtime.getRuntime().halt(0);
   }
 }
--- a/src/main/java/rosecleat/node/Warmup.java
+++ b/src/main/java/rosecleat/node/Warmup.java
@@ -1,7 +1,5 @@
 package rosecleat.node;
 
-import java.io.OutputStream;
-import java.io.PrintStream;
 import java.util.ArrayDeque;
 import rosecleat.config.NodeConfig;
 import rosecleat.core.Request;
@@ -66,7 +64,7 @@
     long endNs = System.nanoTime() + LONGEST_NS;
     Counters counters = new Counters();
     Numbering numbering = new Numbering(new Setup(config, null));
-    try (Log quiet = new Log(new PrintStream(OutputStream.nullOutputStream()))) {
+    try (Log quiet = Log.silent()) { // a starting node makes no thread that it can do without
       core = new Core(numbering.rules(), new Decisions(numbering.settings(), numbering.gauges(), config.seed()), ledger,
           () -> nowUs, counters, quiet);
       core.begin(runner, false, 0);
--- a/src/test/java/rosecleat/log/LogTest.java
+++ b/src/test/java/rosecleat/log/LogTest.java
@@ -6,6 +6,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -30,6 +32,22 @@
     log.close();
   }
 
+  /** Guards the start of a node: its warm-up logs to nowhere, and makes no thread for that. */
+  @Test void aSilentLogHasNoThread() {
+    List<Thread> before = threads();
+    try (Log silent = Log.silent()) {
+      silent.info("unheard");
+      List<Thread> more = new ArrayList<>(threads());
+      more.removeAll(before);
+      assertEquals(List.of(), more);
+      assertEquals(0, silent.dropped());
+    }
+  }
+
+  private static List<Thread> threads() {
+    return Thread.getAllStackTraces().keySet().stream().filter(thread -> thread.getName().equals("log")).toList();
+  }
+
   @Test void callersCannotForgeLines() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     Log log = new Log(new PrintStream(out, true));
