Add failing tests: effects that run twice when the runtime's connection breaks or moves

Red on, five of five, no load: a side_effect start is sent again after its run ended; so is a keyed start of a class whose runs may call; so is a start that the former runtime address had received; a start that gauges proved to have arrived is held in doubt; and a keyed result that comes behind the failure is dropped, so that its retries fail. The fake runtime can end all runs right behind an answer, and leave gauges unanswered.

--- a/src/test/java/rosecleat/fakes/FakeRuntime.java
+++ b/src/test/java/rosecleat/fakes/FakeRuntime.java
@@ -58,6 +58,15 @@
 
   public volatile long readyAfterMs;
 
+  /** No request for gauges is answered before the next connection is synchronized. */
+  public volatile boolean gaugesUnansweredBeforeSync;
+
+  /**
+   * Every run ends between the answer to a request for gauges with this reference and the next line
+   * that is read; empty for never.
+   */
+  public volatile String endRunsBehindGauges = "";
+
   /**
    * What runs of a kind take: on a core, and then waiting off it (ms). Others take the time given
    * at the start.
@@ -109,6 +118,7 @@
 
   private void synchronize(Socket socket, int lastRead) {
     link = socket;
+    gaugesUnansweredBeforeSync = false;
     work.schedule(() -> ready(lastRead), readyAfterMs, TimeUnit.MILLISECONDS);
   }
 
@@ -145,6 +155,9 @@
   }
 
   private void sendGauges(String reference) {
+    if (gaugesUnansweredBeforeSync) {
+      return;
+    }
     ObjectNode load = json.createObjectNode().put("type", "load").put("ref", reference);
     load.putArray("gauges")
         .add(Math.min(1, busy / (double) TestSite.CORES))
@@ -152,6 +165,14 @@
         .add(0.1)
         .add(3);
     send(load);
+    if (reference.equals(endRunsBehindGauges)) {
+      endAllRuns();
+    }
+  }
+
+  private void endAllRuns() {
+    List.copyOf(jobs.values()).forEach(this::endWithResult);
+    queue.clear();
   }
 
   private synchronized void ready(int n) {
@@ -194,9 +215,9 @@
     work.schedule(
         () -> {
           synchronized (this) {
-            Job job = jobs.remove(id);
+            Job job = jobs.get(id);
             if (job != null) {
-              end(job, "ok", result(new String(job.body, StandardCharsets.UTF_8)));
+              endWithResult(job);
             }
           }
         },
@@ -204,6 +225,11 @@
         TimeUnit.MILLISECONDS);
   }
 
+  private void endWithResult(Job job) {
+    jobs.remove(job.id);
+    end(job, "ok", result(new String(job.body, StandardCharsets.UTF_8)));
+  }
+
   private void end(Job job, String state, String result) {
     ObjectNode end =
         json.createObjectNode()
--- a/src/test/java/rosecleat/fakes/TestSite.java
+++ b/src/test/java/rosecleat/fakes/TestSite.java
@@ -49,6 +49,16 @@
     return NodeConfigReader.parse(text, Map.of());
   }
 
+  /** The same configuration, where the class {@code balance-check} has another effect. */
+  public static NodeConfig withEffect(NodeConfig config, String effect) {
+    String pure = "\"effect\":\"pure\",\"name\":\"balance-check\"";
+    String text = config.source().toString();
+    if (!text.contains(pure)) {
+      throw new IllegalArgumentException("balance-check is no read here: " + text);
+    }
+    return NodeConfigReader.parse(text.replace(pure, pure.replace("pure", effect)), Map.of());
+  }
+
   private static String address(String name, int port) {
     return port == 0 ? "" : "\"" + name + "\":\"127.0.0.1:" + port + "\",";
   }
--- a/src/test/java/rosecleat/node/NodeLinksHarness.java
+++ b/src/test/java/rosecleat/node/NodeLinksHarness.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
+import rosecleat.config.NodeConfig;
 import rosecleat.core.Core;
 import rosecleat.fakes.FakeIndex;
 import rosecleat.fakes.FakeRegistry;
@@ -24,20 +25,29 @@
   int tag;
 
   void start() throws IOException {
-    node =
-        new Node(
-            ProcessConfig.of(
-                TestSite.config(runtime.port(), index.port(), registry.port(), 2_000, 500)),
-            NodeEnvironment.standalone(log));
+    start(config());
+  }
+
+  void start(NodeConfig config) throws IOException {
+    node = new Node(ProcessConfig.of(config), NodeEnvironment.standalone(log));
     node.start();
     client = new RespClient(node.port(), null);
   }
 
   void startServing() throws IOException {
-    start();
+    startServing(config());
+  }
+
+  void startServing(NodeConfig config) throws IOException {
+    start(config);
     await(() -> count("") >= 0 && ready());
   }
 
+  /** The configuration of the test site, with the fakes' addresses of this moment. */
+  NodeConfig config() {
+    return TestSite.config(runtime.port(), index.port(), registry.port(), 2_000, 500);
+  }
+
   @AfterEach
   void stop() throws IOException {
     client.close();
@@ -78,8 +88,6 @@
   }
 
   void reload() {
-    node.reload(
-        ProcessConfig.of(
-            TestSite.config(runtime.port(), index.port(), registry.port(), 2_000, 500)));
+    node.reload(ProcessConfig.of(config()));
   }
 }
--- a/src/test/java/rosecleat/node/NodeReloadTest.java
+++ b/src/test/java/rosecleat/node/NodeReloadTest.java
@@ -28,6 +28,25 @@
     assertEquals(3, runtime.starts.size());
   }
 
+  /**
+   * A start that the runtime had received was sent again after a move, and ran twice where its run
+   * had just ended. The node held every command sent in the last second for lost, although the
+   * former connection was open and could prove that all had arrived.
+   */
+  @Test
+  void movedRuntimeIsSentNothingThatItHasReceived() throws IOException {
+    startServing();
+    runtime.endRunsBehindGauges = "resumed";
+    send("balance-check", null);
+    await(() -> runtime.starts.size() == 1);
+    runtime.moveAway();
+    reload();
+    assertEquals(FakeRuntime.result("body 1"), client.answer().get(3));
+    assertEquals("OK", answer("card-refresh").get(1));
+    assertEquals(1, runtime.startsOf("body 1"));
+    assertEquals(0, count("runtime.resent"));
+  }
+
   @Test
   void reloadWhileConnectingConnectsToTheLastAddress() throws IOException {
     startServing();
--- a/src/test/java/rosecleat/node/NodeRuntimeTest.java
+++ b/src/test/java/rosecleat/node/NodeRuntimeTest.java
@@ -1,6 +1,7 @@
 package rosecleat.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -60,6 +61,36 @@
     assertEquals(0, runtime.starts.size());
   }
 
+  /**
+   * A request with an effect and no key ran twice. Its connection to the runtime broke while it
+   * ran; the node took the missing key for a sign that the start may be repeated, and sent it again
+   * after its run had ended. The runtime's record of commands showed it: {@code sync, start 1,
+   * sync, gauges, start 1}.
+   */
+  @Test
+  void startWithAnEffectAndNoKeyIsNeverSentAgain() throws IOException {
+    startServing(TestSite.withEffect(config(), "side_effect"));
+    assertRunsOnceThoughItEndsBehindTheResumption("balance-check", null);
+  }
+
+  /** Runs of a class that calls may end without a call (WIRE, extra.class-calls). */
+  @Test
+  void idempotentStartWhoseRunMayCallIsNeverSentAgain() throws IOException {
+    startServing(TestSite.config(runtime.port(), index.port(), registry.port(), 2_000, 500, true));
+    assertRunsOnceThoughItEndsBehindTheResumption("card-load", "k");
+  }
+
+  private void assertRunsOnceThoughItEndsBehindTheResumption(String className, String once)
+      throws IOException {
+    runtime.endRunsBehindGauges = "resumed";
+    send(className, once);
+    await(() -> runtime.starts.size() == 1);
+    runtime.cut();
+    assertNotEquals("BUSY", client.answer().get(1)); // it ran
+    assertEquals("OK", answer("card-refresh").get(1)); // behind whatever was sent again
+    assertEquals(1, runtime.startsOf("body 1"));
+  }
+
   @Test
   void idempotentStartWhoseRunMustCallFirstIsSentAgain() throws IOException {
     node =
@@ -80,6 +111,31 @@
     assertEquals(1, runtime.startsOf("body 1"));
   }
 
+  /**
+   * The effect of a keyed request took place and its result arrived, yet every retry failed for the
+   * rest of the window. The request had been failed when its connection broke, since nothing proved
+   * that it ran; the end that proved it came a moment later and was dropped.
+   */
+  @Test
+  void endThatComesBehindTheFailureAnswersRetriesWithTheSameKey() throws IOException {
+    startServing();
+    runtime.gaugesUnansweredBeforeSync = true;
+    send("card-load", "k");
+    await(() -> runtime.starts.size() == 1);
+    runtime.cut();
+    assertEquals("FAILED", client.answer().get(1)); // at once: nothing proves that it runs
+    await(() -> count("runs.proven") == 1);
+    client.send(
+        RespClient.array(
+            "DO",
+            9,
+            "card-load",
+            RespClient.fields("00000000000000f9", "small", 900, "k"),
+            "body 1"));
+    assertEquals(FakeRuntime.result("body 1"), client.answer().get(3));
+    assertEquals(1, runtime.startsOf("body 1"));
+  }
+
   @Test
   void unreadableMessageFailsOnlyItsOwnRun() throws IOException {
     startServing();
--- a/src/test/java/rosecleat/runtime/RuntimeClientTest.java
+++ b/src/test/java/rosecleat/runtime/RuntimeClientTest.java
@@ -94,9 +94,7 @@
   }
 
   private long syncs() {
-    synchronized (runtime) {
-      return runtime.commands.stream().filter("sync "::equals).count();
-    }
+    return commands("sync ");
   }
 
   /**
@@ -148,8 +146,45 @@
     runtime.up();
     Await.until(() -> runtime.started("00000000000000a3") && runtime.started("00000000000000a4"));
     assertEquals(1, gate.call(() -> counters.get("runtime.resent")));
+    assertEquals(1, commands("start 00000000000000a4"));
+  }
+
+  /**
+   * Lines of one connection arrive in order: gauges that were answered prove that every command
+   * written before their request was read, however soon the connection breaks after that.
+   */
+  @Test
+  void startWrittenBeforeAnsweredGaugesIsNotInDoubt() {
+    runtime.takes.put("balance-check", new int[] {60_000, 0});
+    start("00000000000000a5");
+    requestGauges();
+    awaitCommands("gauges ", 1);
+    Await.until(() -> requestsOfGauges() == 2); // not before the first was answered
+    runtime.cut();
+    awaitCommands("sync ", 2);
+    start("00000000000000a6");
+    Await.until(() -> runtime.started("00000000000000a6"));
+    gate.run(() -> {}); // what was read with the synchronization is handled
+    assertEquals(0, gate.call(() -> counters.get("runtime.resent")));
+    assertEquals(1, commands("start 00000000000000a5"));
+  }
+
+  private void requestGauges() {
+    gate.run(client::requestGauges);
+  }
+
+  private long requestsOfGauges() {
+    requestGauges();
+    return commands("gauges ");
+  }
+
+  private void awaitCommands(String command, int count) {
+    Await.until(() -> commands(command) == count);
+  }
+
+  private long commands(String command) {
     synchronized (runtime) {
-      assertEquals(1, runtime.commands.stream().filter("start 00000000000000a4"::equals).count());
+      return runtime.commands.stream().filter(command::equals).count();
     }
   }
 }
