Repeat no command that may be taken twice, and take answered gauges for proof

Symptom: a side_effect request ran twice after the runtime's connection broke; so did keyed ones of classes that may call; a planned move repeated starts that had arrived; a reply could be taken for the reply to the next call. Cause: 'no key' and 'the class calls' were taken for 'safe to repeat', and all commands of the last second for lost. Change: DeliveryGuarantee and RunCommand.Recovery say what may be repeated; answered gauges prove what arrived; a move waits for that proof; a result that comes behind the failure is kept for retries. RuntimeLink is split off.

--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -130,7 +130,7 @@
     return shutdown.gracePeriodEndedBefore(clock.getAsLong());
   }
 
-  /** Whether each run of a class pauses for a downstream call before it ends. */
+  /** Whether a run of a class may pause for a downstream call before it ends. */
   public boolean callsDownstream(int classIndex) {
     return settings.classes().get(classIndex).callsDownstream();
   }
@@ -287,7 +287,8 @@
   }
 
   /**
-   * A run has ended; ignored if the core knows of no such run.
+   * A run has ended. If the core knows of no such run, only a result counts, for later attempts
+   * with the same idempotency key.
    *
    * @param id the request's id
    * @param result how the run ended
@@ -295,7 +296,12 @@
    * @param durationUs how long the run took, in microseconds
    */
   public void runEnded(String id, RunResult result, byte[] output, long durationUs) {
-    requests.find(id).ifPresent(request -> runs.ended(request, result, output, durationUs));
+    Optional<InFlightRequest> request = requests.find(id);
+    if (request.isPresent()) {
+      runs.ended(request.get(), result, output, durationUs);
+    } else if (result == RunResult.OK) {
+      attempts.resultAfterEnd(id, output);
+    }
   }
 
   /**
@@ -335,6 +341,14 @@
   /** A runner has rejected what a paused run waits for: the run can't go on and is cancelled. */
   public void resumeRejected(String id) {
     counters.add("nacks");
+    resumeUnproven(id);
+  }
+
+  /**
+   * Nothing proves whether a run got the reply that it waited for, and it may wait for another one
+   * by now: it is cancelled, as a repeat could be taken for the reply to that.
+   */
+  public void resumeUnproven(String id) {
     requests.find(id).filter(request -> request.is(RequestState.RUNNING)).ifPresent(runs::cancel);
   }
 
--- /dev/null
+++ b/src/main/java/rosecleat/core/DeliveryGuarantee.java
@@ -0,0 +1,9 @@
+package rosecleat.core;
+
+/** How often a request may reach what executes it, where a broken connection hides what arrived. */
+public enum DeliveryGuarantee {
+  /** The request only reads: it may be sent again, and run twice. */
+  AT_LEAST_ONCE,
+  /** The request has an effect: once it may have arrived, it is never sent again. */
+  AT_MOST_ONCE
+}
--- a/src/main/java/rosecleat/core/IdempotencyEntry.java
+++ b/src/main/java/rosecleat/core/IdempotencyEntry.java
@@ -61,6 +61,11 @@
     return owner == attempt;
   }
 
+  /** Whether a run with this id was started here. */
+  boolean ranAs(String runId) {
+    return runStarted && owner != null && owner.id().equals(runId);
+  }
+
   /** Whether a peer process executes the run. */
   boolean runsOnPeerProcess() {
     return owner == null;
--- a/src/main/java/rosecleat/core/IdempotencyTable.java
+++ b/src/main/java/rosecleat/core/IdempotencyTable.java
@@ -131,6 +131,13 @@
     return entry.takeWaiting();
   }
 
+  /** The entry whose run was executed here, by this id, and has ended without a result. */
+  Optional<IdempotencyEntry> endedWithoutResult(String runId) {
+    return entries.values().stream()
+        .filter(entry -> entry.ranAs(runId) && entry.runEnded() && entry.result().isEmpty())
+        .findAny();
+  }
+
   /** The run of an attempt never executed. Returns the attempts that waited for it. */
   List<InFlightRequest> removeRun(InFlightRequest request) {
     Optional<IdempotencyEntry> own = ownEntry(request);
--- a/src/main/java/rosecleat/core/IdempotentAttempts.java
+++ b/src/main/java/rosecleat/core/IdempotentAttempts.java
@@ -83,12 +83,15 @@
     return request.idempotent() ? table.originalSequence(request) : 0;
   }
 
-  /** Whether this attempt, or an earlier one with the same key, may have run. */
-  boolean mayHaveRun(InFlightRequest request) {
-    if (!request.idempotent()) {
+  /**
+   * Whether a run would be a second one of a request that must run once at most: this attempt, or
+   * an earlier one with the same key, may have run.
+   */
+  boolean wouldRunTwice(InFlightRequest request) {
+    if (request.deliveryGuarantee() == DeliveryGuarantee.AT_LEAST_ONCE) {
       return false;
     }
-    long original = table.originalSequence(request);
+    long original = originalSequence(request);
     return request.mayHaveRun() || (original != 0 && original != request.sequence());
   }
 
@@ -204,6 +207,19 @@
     }
   }
 
+  /**
+   * A result has come of a run that was ended without one, as nothing proved that it would have
+   * any. The response to its request said that it may have run; later attempts get the result.
+   */
+  void resultAfterEnd(String runId, byte[] result) {
+    Optional<IdempotencyEntry> entry = table.endedWithoutResult(runId);
+    if (entry.isPresent()) {
+      counters.add("runs.proven");
+      claims.completed(entry.get().key.name(), result);
+      table.endRun(entry.get(), Optional.of(result)); // nobody waits for an ended run
+    }
+  }
+
   /**
    * The run of a request is proven never to have executed: its key is free again.
    *
--- a/src/main/java/rosecleat/core/InFlightRequest.java
+++ b/src/main/java/rosecleat/core/InFlightRequest.java
@@ -62,6 +62,11 @@
     return requestClass;
   }
 
+  /** How often the request may be delivered. */
+  DeliveryGuarantee deliveryGuarantee() {
+    return requestClass.deliveryGuarantee();
+  }
+
   /** Whether the request carries an idempotency key. */
   boolean idempotent() {
     return requestClass.idempotent();
--- a/src/main/java/rosecleat/core/Runner.java
+++ b/src/main/java/rosecleat/core/Runner.java
@@ -8,8 +8,10 @@
   /**
    * Starts the run of a request whose response is due at {@code deadlineUs}, a Unix time in
    * microseconds. Its end is reported to {@link Core#runEnded}.
+   *
+   * @param guarantee whether the start may be sent again where it is unknown whether it arrived
    */
-  void start(Request request, long deadlineUs);
+  void start(Request request, DeliveryGuarantee guarantee, long deadlineUs);
 
   /** Cancels a run; its end is still reported. */
   void cancel(String id);
--- a/src/main/java/rosecleat/core/Runs.java
+++ b/src/main/java/rosecleat/core/Runs.java
@@ -51,8 +51,8 @@
     if (!request.is(RequestState.QUEUED) || !request.awaitingResponse()) {
       return;
     }
-    if (attempts.mayHaveRun(request)) {
-      log.warn("a run of a keyed request that may have run was not started");
+    if (attempts.wouldRunTwice(request)) {
+      log.warn("a run of a request that may have run already was not started");
       closer.endWithoutRun(
           request,
           Response.failed(
@@ -82,7 +82,10 @@
   private void execute(InFlightRequest request) {
     request.startRun(clock.getAsLong());
     counters.add("starts");
-    request.request().runner().start(request.request(), request.deadlineUs());
+    request
+        .request()
+        .runner()
+        .start(request.request(), request.deliveryGuarantee(), request.deadlineUs());
   }
 
   /**
--- a/src/main/java/rosecleat/front/uwsgi/SampleRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/SampleRunner.java
@@ -7,6 +7,7 @@
 import rosecleat.config.Backend;
 import rosecleat.config.ServiceOperation;
 import rosecleat.core.Core;
+import rosecleat.core.DeliveryGuarantee;
 import rosecleat.core.Request;
 import rosecleat.core.RunResult;
 import rosecleat.core.Runner;
@@ -42,7 +43,7 @@
   }
 
   @Override
-  public void start(Request request, long deadlineUs) {
+  public void start(Request request, DeliveryGuarantee guarantee, long deadlineUs) {
     String operation = request.attributes().get(RunAttributes.OPERATION);
     Backend.Sample sample = samplesByOperation.get(operation);
     if (sample == null) { // the operation lost its example since the request arrived
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRunner.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
+import rosecleat.core.DeliveryGuarantee;
 import rosecleat.core.Failure;
 import rosecleat.core.Request;
 import rosecleat.core.RunResult;
@@ -68,7 +69,7 @@
   }
 
   @Override
-  public void start(Request request, long deadlineUs) {
+  public void start(Request request, DeliveryGuarantee guarantee, long deadlineUs) {
     Run run = new Run(request);
     runs.put(request.id(), run);
     run.start(deadlineUs);
--- a/src/main/java/rosecleat/node/IndexedSettings.java
+++ b/src/main/java/rosecleat/node/IndexedSettings.java
@@ -17,7 +17,6 @@
 import rosecleat.core.Runner;
 import rosecleat.front.resp.RequestCatalog;
 import rosecleat.policy.ClassAndTenantNames;
-import rosecleat.policy.Idempotency;
 import rosecleat.policy.PolicySettings;
 import rosecleat.policy.PriorityClass;
 import rosecleat.policy.TenantQuota;
@@ -138,7 +137,7 @@
     PriorityClass settings = indexed.settings;
     return new RequestClass(
         indexed.name,
-        settings.idempotency() == Idempotency.KEYED,
+        settings.idempotency(),
         settings.callsDownstream(),
         settings.retryWindowUs(),
         settings.deadlineUs());
--- a/src/main/java/rosecleat/node/JitWarmup.java
+++ b/src/main/java/rosecleat/node/JitWarmup.java
@@ -5,6 +5,7 @@
 import rosecleat.core.CallResult;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
+import rosecleat.core.DeliveryGuarantee;
 import rosecleat.core.DownstreamClient;
 import rosecleat.core.Request;
 import rosecleat.core.RunResult;
@@ -86,7 +87,7 @@
   /** Collects the requests that the core starts. */
   private final class RunQueue implements Runner {
     @Override
-    public void start(Request request, long dueUs) {
+    public void start(Request request, DeliveryGuarantee guarantee, long dueUs) {
       started.add(request);
     }
 
--- a/src/main/java/rosecleat/policy/Idempotency.java
+++ b/src/main/java/rosecleat/policy/Idempotency.java
@@ -7,5 +7,13 @@
   /** They have an effect; an idempotency key tells a repeated attempt from a new request. */
   KEYED,
   /** They have an effect, and nothing tells a repeated attempt from a new request. */
-  UNSAFE
+  UNSAFE;
+
+  /**
+   * Whether a request may be executed again where it is unknown whether it was executed before. A
+   * key does not make it so: it lets attempts share one execution.
+   */
+  public boolean repeatable() {
+    return this == SAFE;
+  }
 }
--- a/src/main/java/rosecleat/runtime/CommandTracker.java
+++ b/src/main/java/rosecleat/runtime/CommandTracker.java
@@ -8,13 +8,14 @@
 import java.util.Set;
 
 /**
- * Tracks the last command of each run until the runtime has shown an effect of it, across
- * connections. A command is in one of these places:
+ * Tracks the last command of each run until it is proven to have arrived, across connections: the
+ * runtime has shown an effect of it, or has answered a request for gauges that was written behind
+ * it on the same connection. A command is in one of these places:
  *
  * <ul>
  *   <li>queued: not sent, as there was no connection; it goes first on the next one;
- *   <li>unacknowledged: sent on the current connection;
- *   <li>in doubt: sent shortly before an earlier connection ended, which may have lost it.
+ *   <li>unacknowledged: sent on the current connection, and not yet proven to have arrived;
+ *   <li>in doubt: unacknowledged when an earlier connection ended, which may have lost it.
  * </ul>
  *
  * <p>For the loop alone.
@@ -23,12 +24,6 @@
   /** Bounds the memory that commands for an unreachable runtime take. */
   private static final int MAX_QUEUED = 4_096;
 
-  /**
-   * A broken connection loses no command older than 50 ms; one sent this long before the break was
-   * noticed has surely arrived (us).
-   */
-  private static final long IN_DOUBT_WINDOW_US = 1_000_000;
-
   private final ArrayDeque<RunCommand> queued = new ArrayDeque<>();
   private final Map<String, RunCommand> unacknowledged = new LinkedHashMap<>();
   private final Map<String, RunCommand> inDoubt = new LinkedHashMap<>();
@@ -36,6 +31,9 @@
   /** Runs whose command was sent again; the runtime rejects it where it had arrived before. */
   private final Set<String> resentRuns = new HashSet<>();
 
+  /** How many commands were sent, on all connections. */
+  private long sentCount;
+
   /** Forgets all earlier commands of a run, as a new one takes their place. */
   void supersede(String runId) {
     resentRuns.remove(runId);
@@ -61,8 +59,14 @@
   }
 
   /** Records that a command was sent on the current connection. */
-  void sent(RunCommand command, long nowUs) {
-    unacknowledged.put(command.runId(), command.sentAt(nowUs));
+  void sent(RunCommand command) {
+    sentCount++;
+    unacknowledged.put(command.runId(), command.withSequence(sentCount));
+  }
+
+  /** How many commands were sent so far, for {@link #acknowledgeThrough}. */
+  long sentCount() {
+    return sentCount;
   }
 
   /** Records that the last command of a run has arrived. */
@@ -72,14 +76,23 @@
   }
 
   /**
-   * Records that no further command goes by the current connection: the last ones may be lost with
-   * it, all earlier ones have arrived.
+   * Records that the first so many commands have arrived, as far as they were sent on the current
+   * connection: what was written behind them there was answered, and a connection keeps its order.
+   */
+  void acknowledgeThrough(long sequence) {
+    unacknowledged.values().removeIf(command -> command.sequence() <= sequence);
+  }
+
+  boolean hasUnacknowledged() {
+    return !unacknowledged.isEmpty();
+  }
+
+  /**
+   * Records that no further command goes by the current connection: those that are not proven to
+   * have arrived may be lost with it.
    */
-  void connectionLost(long nowUs) {
-    long sinceUs = nowUs - IN_DOUBT_WINDOW_US;
-    unacknowledged.values().stream()
-        .filter(command -> command.sentAtUs() >= sinceUs)
-        .forEach(this::putInDoubt);
+  void connectionLost() {
+    unacknowledged.values().forEach(this::putInDoubt);
     unacknowledged.clear();
   }
 
--- a/src/main/java/rosecleat/runtime/RunCommand.java
+++ b/src/main/java/rosecleat/runtime/RunCommand.java
@@ -5,11 +5,26 @@
  *
  * @param runId the run
  * @param line the encoded command
- * @param repeatable whether the runtime may receive it twice without harm
- * @param sentAtUs when it was sent, or queued where it was not, by the node's clock
+ * @param recovery what to do where a broken connection may have lost it
+ * @param sequence its position among all commands sent; 0 where it was not sent yet
  */
-record RunCommand(String runId, String line, boolean repeatable, long sentAtUs) {
-  RunCommand sentAt(long nowUs) {
-    return new RunCommand(runId, line, repeatable, nowUs);
+record RunCommand(String runId, String line, Recovery recovery, long sequence) {
+  /** What to do about a command where nothing proves whether it has arrived. */
+  enum Recovery {
+    /** Send it again: the runtime may receive it twice without harm. */
+    RESEND,
+    /** End the run as one that may have executed: a repeat could execute it twice. */
+    END_RUN,
+    /** Cancel the run: a repeat could be taken for something else. */
+    CANCEL_RUN
+  }
+
+  /** A command that was not sent yet. */
+  RunCommand(String runId, String line, Recovery recovery) {
+    this(runId, line, recovery, 0);
+  }
+
+  RunCommand withSequence(long sentAs) {
+    return new RunCommand(runId, line, recovery, sentAs);
   }
 }
--- a/src/main/java/rosecleat/runtime/RuntimeClient.java
+++ b/src/main/java/rosecleat/runtime/RuntimeClient.java
@@ -1,61 +1,41 @@
 package rosecleat.runtime;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Base64;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
-import rosecleat.core.Failure;
+import rosecleat.core.DeliveryGuarantee;
 import rosecleat.core.Request;
 import rosecleat.core.RunResult;
 import rosecleat.core.Runner;
 import rosecleat.log.Log;
-import rosecleat.net.Connection;
-import rosecleat.net.ConnectionHandler;
-import rosecleat.net.ConnectionLimits;
-import rosecleat.net.Connector;
 import rosecleat.net.EventLoop;
-import rosecleat.net.LineBuffer;
 
 /**
  * Runs requests in the machine's runtime: commands out, messages in, over one connection that is
  * made again whenever it is lost. A new connection begins with the number of the last message read,
- * so that each is applied exactly once; commands that a lost connection may have swallowed are sent
- * again where that is harmless. For the loop alone.
+ * so that each is applied exactly once. Commands that may be lost with a connection are sent again
+ * where that is harmless; gauges that are answered prove that all commands written before have
+ * arrived. For the loop alone.
  */
 public final class RuntimeClient implements Runner {
-  private static final long CONNECT_TIMEOUT_US = 2_000_000;
-  private static final long RECONNECT_DELAY_US = 100_000;
-  private static final int MAX_LINE_BYTES = 1 << 20;
-
-  /** The reference of regular requests for gauges. */
-  private static final String POLL_REFERENCE = "g";
+  /** Begins the references of requests for gauges; the number of commands sent before follows. */
+  private static final String PROOF_REFERENCE = "g";
 
   /** The reference of the request whose answer shows that all missed messages were read. */
   private static final String RESUMED_REFERENCE = "resumed";
 
-  private static final ConnectionLimits LIMITS =
-      new ConnectionLimits(16 << 10, 1 << 20, 4 << 20, 10_000_000);
-
   private final EventLoop loop;
   private final Core core;
   private final LongSupplier clock;
   private final Counters counters;
   private final Log log;
-  private final Connector connector;
+  private final RuntimeLink link;
   private final CommandTracker commands = new CommandTracker();
   private final KeepAlive keepAlive = new KeepAlive();
 
-  /** The connection in use; null while there is none. */
-  private Connection connection;
-
-  /** Whether commands may be sent: the runtime has answered on the connection in use. */
-  private boolean ready;
-
   /** The number of the last message read. */
   private long lastSequence;
 
@@ -67,121 +47,67 @@
     this.clock = clock;
     this.log = log;
     counters = core.counters();
-    connector = new Connector(loop, address, CONNECT_TIMEOUT_US, LIMITS, new ReconnectingHandler());
+    link = new RuntimeLink(loop, address, counters, log, new LinkHandler());
   }
 
   /** Connects, and connects again whenever the connection is lost. */
   public void connect() {
-    connector.connect();
+    link.connect();
   }
 
   /**
    * Changes the runtime's address. The connection in use gets no further command, but its messages
-   * are read until the new one is established; the runs go on, and the new connection brings all
-   * messages that the old one did not.
+   * are read until the new one is established and the old one has proven which commands arrived;
+   * the runs go on, and the new connection brings all messages that the old one did not.
    */
   public void setAddress(InetSocketAddress address) {
-    if (connector.setAddress(Objects.requireNonNull(address))) {
-      ready = false;
-      commands.connectionLost(clock.getAsLong());
-      connect();
-    }
+    link.setAddress(address);
   }
 
-  private final class ReconnectingHandler implements Connector.Handler {
+  private final class LinkHandler implements RuntimeLink.Handler {
     @Override
-    public void connected(Connection established) {
-      use(established);
+    public void connected() {
+      keepAlive.connectionReplaced();
+      link.write(RuntimeCommandEncoder.sync(lastSequence));
     }
 
     @Override
-    public void connectedToFormerAddress() {
-      connect();
+    public void received(String line) {
+      keepAlive.received(clock.getAsLong());
+      handleLine(line);
     }
 
     @Override
-    public void failed(Failure failure, boolean addressChanged) {
-      counters.add("runtime.unreached");
-      loop.schedule(addressChanged ? 0 : RECONNECT_DELAY_US, RuntimeClient.this::connect);
-    }
-  }
-
-  private void use(Connection established) {
-    Connection previous = connection;
-    connection = established;
-    if (previous != null) {
-      previous.closeGracefully(); // what it still brings comes again on the new one
-    }
-    ready = false;
-    keepAlive.connectionReplaced();
-    established.start(new MessageReader(established));
-    write(RuntimeCommandEncoder.sync(lastSequence));
-  }
-
-  /** Reads the messages of one connection for as long as it is the one in use. */
-  private final class MessageReader implements ConnectionHandler {
-    private final Connection source;
-    private final LineBuffer lines = new LineBuffer(MAX_LINE_BYTES);
-
-    MessageReader(Connection source) {
-      this.source = source;
+    public void lost() {
+      commands.connectionLost();
     }
 
     @Override
-    public void received(ByteBuffer bytes) {
-      if (connection != source) {
-        return; // replaced by a newer connection
-      }
-      keepAlive.received(clock.getAsLong());
-      if (!lines.append(bytes) || lines.lineTooLong()) {
-        source.abort("the runtime sent a line that is too long");
-        return;
-      }
-      for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-        handleLine(line);
-      }
+    public boolean needsProof() {
+      return commands.hasUnacknowledged();
     }
 
     @Override
-    public void closed(Failure failure, boolean endOfStream) {
-      if (connection == source) {
-        reconnectAfter(failure);
-      }
+    public void requestProof() {
+      RuntimeClient.this.requestProof();
     }
   }
 
-  /**
-   * Reconnects at once, as the runtime goes on meanwhile; a connection that was never ready must
-   * not be made again in a busy loop.
-   */
-  private void reconnectAfter(Failure failure) {
-    log.warn("the link to the runtime ended: " + failure.message());
-    boolean wasReady = ready;
-    connection = null;
-    ready = false;
-    commands.connectionLost(clock.getAsLong());
-    loop.schedule(
-        wasReady ? 0 : RECONNECT_DELAY_US,
-        () -> {
-          if (connection == null) {
-            connect();
-          }
-        });
-  }
-
   /**
    * {@inheritDoc}
    *
-   * <p>A start that a broken connection may have swallowed is sent again once all earlier messages
-   * were read: for a run that goes on, the runtime ignores it. A run that had ended between that
-   * reading and the repeat would run twice, which an idempotent request must not. Where each run
-   * pauses at a downstream call first, it can't end unseen; elsewhere its start is not repeated.
+   * <p>A start that may be lost with a connection is sent again, once all earlier messages were
+   * read, only where the request may run twice: for a run that goes on, the runtime ignores it, but
+   * one that ended between that reading and the repeat runs a second time.
    */
   @Override
-  public void start(Request request, long deadlineUs) {
-    boolean repeatable =
-        request.idempotencyKey() == null || core.callsDownstream(request.classIndex());
-    if (!send(request.id(), RuntimeCommandEncoder.start(request), repeatable)) {
+  public void start(Request request, DeliveryGuarantee guarantee, long deadlineUs) {
+    String line = RuntimeCommandEncoder.start(request);
+    RunCommand.Recovery recovery =
+        guarantee == DeliveryGuarantee.AT_LEAST_ONCE
+            ? RunCommand.Recovery.RESEND
+            : RunCommand.Recovery.END_RUN;
+    if (!send(request.id(), line, recovery)) {
       loop.execute( // reported like any other end, not inside this call
           () -> core.runEnded(request.id(), RunResult.UNREACHABLE, 0));
     }
@@ -189,34 +115,45 @@
 
   @Override
   public void cancel(String id) {
-    send(id, RuntimeCommandEncoder.cancel(id), true);
+    send(id, RuntimeCommandEncoder.cancel(id), RunCommand.Recovery.RESEND);
   }
 
+  /**
+   * {@inheritDoc}
+   *
+   * <p>A reply names no call. One that may be lost is not sent again: the run may wait for its next
+   * call by then, and would take it for the reply to that.
+   */
   @Override
   public void completeCall(String id, byte[] reply) {
-    send(id, RuntimeCommandEncoder.completeCall(id, reply), true);
+    send(id, RuntimeCommandEncoder.completeCall(id, reply), RunCommand.Recovery.CANCEL_RUN);
   }
 
   @Override
   public void skipCall(String id, long callNumber) {
-    send(id, RuntimeCommandEncoder.skipCall(id, callNumber), true);
+    send(id, RuntimeCommandEncoder.skipCall(id, callNumber), RunCommand.Recovery.RESEND);
   }
 
   @Override
   public void requestGauges() {
     long now = clock.getAsLong();
     keepAlive.poll(now);
-    if (!ready) {
+    if (!link.isReady()) {
       return;
     }
     if (keepAlive.timedOut(now)) {
       abortSilentConnection(now);
     } else if (keepAlive.requestDue(now)) {
       keepAlive.requested(now);
-      write(RuntimeCommandEncoder.requestGauges(POLL_REFERENCE));
+      requestProof();
     }
   }
 
+  /** Requests the gauges; their answer proves that the commands sent so far have arrived. */
+  private void requestProof() {
+    link.write(RuntimeCommandEncoder.requestGauges(PROOF_REFERENCE + commands.sentCount()));
+  }
+
   /** The runs go on, and a new connection brings the messages about them. */
   private void abortSilentConnection(long now) {
     counters.add("runtime.silent");
@@ -225,18 +162,18 @@
             + keepAlive.silenceUs(now) / 1000
             + " ms: its link is made anew");
     keepAlive.received(now);
-    connection.abort("the runtime is silent");
+    link.abort("the runtime is silent");
   }
 
   /**
    * Sends a command, or queues it for the next connection: it has not been sent, so sending it then
    * is no repeat. False where it is neither, as too many are queued.
    */
-  private boolean send(String runId, String line, boolean repeatable) {
+  private boolean send(String runId, String line, RunCommand.Recovery recovery) {
     counters.add("runtime.commands");
     commands.supersede(runId);
-    RunCommand command = new RunCommand(runId, line, repeatable, clock.getAsLong());
-    if (ready && sendNow(command)) {
+    RunCommand command = new RunCommand(runId, line, recovery);
+    if (link.isReady() && sendNow(command)) {
       return true;
     }
     if (!commands.queue(command)) {
@@ -248,17 +185,13 @@
 
   /** Sends a command on the connection in use; false, with no byte sent, where it has ended. */
   private boolean sendNow(RunCommand command) {
-    if (connection == null || !write(command.line())) {
+    if (!link.write(command.line())) {
       return false;
     }
-    commands.sent(command, clock.getAsLong());
+    commands.sent(command);
     return true;
   }
 
-  private boolean write(String line) {
-    return connection.write(ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.ISO_8859_1)));
-  }
-
   /** Handles one line; one that can't be read is skipped, and the connection is used on. */
   private void handleLine(String line) {
     Optional<RuntimeMessage> message = RuntimeMessage.parse(line);
@@ -301,12 +234,12 @@
   }
 
   private void handleReady(RuntimeMessage.Ready message) {
-    ready = true;
+    link.markReady();
     log.info(
         "the runtime is up, " + message.state() + ", since " + message.uptimeUs() / 1000 + " ms");
     core.start(this, message.cold(), message.uptimeUs());
     if (commands.hasInDoubt()) {
-      write(RuntimeCommandEncoder.requestGauges(RESUMED_REFERENCE));
+      link.write(RuntimeCommandEncoder.requestGauges(RESUMED_REFERENCE));
     }
     while (commands.hasQueued() && sendNow(commands.firstQueued())) {
       commands.removeFirstQueued();
@@ -336,32 +269,51 @@
     keepAlive.gaugesReceived();
     if (message.reference().equals(RESUMED_REFERENCE)) {
       resolveDoubts();
+    } else {
+      commands.acknowledgeThrough(provenCount(message.reference()));
+      link.proofReceived();
     }
     core.gaugesReceived(message.values());
   }
 
+  /** How many commands the answer to a request for gauges proves to have arrived. */
+  private static long provenCount(String reference) {
+    try {
+      return Long.parseLong(reference.substring(PROOF_REFERENCE.length()));
+    } catch (NumberFormatException | StringIndexOutOfBoundsException e) {
+      return 0; // none of our references: it proves nothing
+    }
+  }
+
   /**
-   * Resolves the commands in doubt, once all messages missed between connections were read: those
-   * of runs that still show no effect of them are sent again where they may arrive twice, and the
-   * other runs are ended.
+   * Resolves the commands in doubt, once all messages missed between connections were read, and the
+   * runs in question still show no effect of them.
    */
   private void resolveDoubts() {
     for (RunCommand command : commands.takeInDoubt()) {
-      String runId = command.runId();
-      if (command.repeatable()) {
-        counters.add("runtime.resent");
-        commands.resending(runId);
-        if (!sendNow(command)) {
-          commands.putInDoubt(command); // this connection has ended too
+      switch (command.recovery()) {
+        case RESEND -> resend(command);
+        case END_RUN -> {
+          counters.add("runtime.unproven");
+          // ended now: nothing more will prove whether it runs
+          core.runEnded(command.runId(), RunResult.INTERRUPTED, 0);
+        }
+        case CANCEL_RUN -> {
+          counters.add("runtime.unproven");
+          core.resumeUnproven(command.runId());
         }
-      } else {
-        counters.add("runtime.unproven");
-        // ended now: nothing more will prove whether it runs
-        core.runEnded(runId, RunResult.INTERRUPTED, 0);
       }
     }
   }
 
+  private void resend(RunCommand command) {
+    counters.add("runtime.resent");
+    commands.resending(command.runId());
+    if (!sendNow(command)) {
+      commands.putInDoubt(command); // this connection has ended too
+    }
+  }
+
   private void handleCommandRejected(String runId, String command) {
     log.warn("the runtime did not carry out " + command + " for " + runId);
     if (commands.wasResent(runId)) {
--- a/src/main/java/rosecleat/runtime/UnavailableRunner.java
+++ b/src/main/java/rosecleat/runtime/UnavailableRunner.java
@@ -1,6 +1,7 @@
 package rosecleat.runtime;
 
 import rosecleat.core.Core;
+import rosecleat.core.DeliveryGuarantee;
 import rosecleat.core.Request;
 import rosecleat.core.RunResult;
 import rosecleat.core.Runner;
@@ -21,7 +22,7 @@
   }
 
   @Override
-  public void start(Request request, long deadlineUs) {
+  public void start(Request request, DeliveryGuarantee guarantee, long deadlineUs) {
     loop.execute(() -> core.runEnded(request.id(), RunResult.UNREACHABLE, 0));
   }
 
