--- a/src/test/java/rosecleat/fakes/TestSite.java
+++ b/src/test/java/rosecleat/fakes/TestSite.java
@@ -8,6 +8,12 @@
 public final class TestSite {
   public static final int CORES = 2;
 
+  /** How many calls may be outstanding in the mean. */
+  public static final int CALLS_OUT = 50;
+
+  /** The latency objective of each class (ms). */
+  public static final int OBJECTIVE_MS = 800;
+
   private TestSite() {}
 
   /** A node's configuration; ports of 0 leave a part out. */
@@ -23,7 +29,7 @@
         {"name":"t1","listen":"127.0.0.1:0",%s%s%s"seed":"2a","stop_ms":%d,"limits":{"sockets":1024},
          "settings":{
           "bounds":{"max-retry-after-us":1000000,"retry-after":true},"clients":{"marks-retry":true},
-          "extra":{"below":"shared","calls-out":50,"calls-over-us":5000000,"class-calls":[false,true,%b],
+          "extra":{"below":"shared","calls-out":%d,"calls-over-us":5000000,"class-calls":[false,true,%b],
            "clients-total":2,"cold":false,"cpus":%d,"gauges":["core_use","on_cores","heap_share","links"],
            "halt":"drop","heeded-us":1000000,"idle-us":30000000,"key-kb":20,"lingers-us":200000,
            "mem-limit-kb":200000,"passes-deadline":true,"run-factor":4,"say":"credit","tells-gone":true,
@@ -43,6 +49,7 @@
                 address("index", index),
                 address("roster", roster),
                 stopMs,
+                CALLS_OUT,
                 keyedCalls,
                 CORES,
                 graceMs * 1000);
--- a/src/test/java/rosecleat/node/DescriptorLimitTest.java
+++ b/src/test/java/rosecleat/node/DescriptorLimitTest.java
@@ -135,6 +135,44 @@
     }
   }
 
+  /**
+   * A request waited for half a second and more behind clients that say nothing, until it was
+   * rejected for being late. It lay unread: each wave of evictions freed a quarter of the places at
+   * most, and waited for the poll after the time in which bytes may be in flight. The bound is the
+   * latency objective of its class; eight times as many clients as there are places stand before
+   * it.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {64, 200})
+  void requestBehindIdleClientsIsAnsweredWithinItsObjective(int descriptors) throws Exception {
+    Process process = null;
+    int listen = freePort();
+    try (FakeRuntime runtime = new FakeRuntime(5);
+        FakeIndex index = new FakeIndex();
+        FakeRegistry registry = new FakeRegistry()) {
+      process = process(descriptors, runtime.port(), index.port(), registry.port(), listen);
+      await(
+          "it does not listen",
+          () -> log().contains("listens on") && log().contains("the runtime is up"));
+      int places = DescriptorBudget.of(descriptors, 0, TestSite.CALLS_OUT, false).balancers();
+      openIdleConnections(8 * places, listen);
+      long sentNs = System.nanoTime();
+      try (RespClient balancer = new RespClient(listen, null)) {
+        String word = answer(balancer, "balance-check");
+        long waitedMs = (System.nanoTime() - sentNs) / 1_000_000;
+        assertEquals("OK", word, "after " + waitedMs + " ms");
+        assertTrue(waitedMs < TestSite.OBJECTIVE_MS, "answered after " + waitedMs + " ms");
+      }
+    } finally {
+      if (process != null) {
+        process.destroyForcibly().waitFor();
+      }
+      for (Socket socket : idle) {
+        socket.close();
+      }
+    }
+  }
+
   /** Opens connections of clients that never close them, whatever they are told. */
   private void openIdleConnections(int count, int port) throws IOException {
     for (int i = 0; i < count; i++) {
