Free the places of silent clients as soon as nothing can be in flight

Symptom: the first request behind idle clients was answered after half a second, and rejected beside load. Cause: idle connections were closed while bytes could be in flight and kept their places from then on; they counted against the target of silent ones; attempts came up to 20 ms late. Seen in a trace of every eviction. Change: connections are closed once quiet, the unused all at once; the next attempt comes when the next becomes quiet.

--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -128,10 +128,19 @@
    * long enough ago, or at a time when the connection had long been quiet.
    */
   boolean lingersWithNothingInFlight() {
-    return state == State.HALF_CLOSED
-        && !readCompleted
-        && (System.nanoTime() - outputShutdownNs >= MAX_IN_FLIGHT_NS
-            || outputShutdownNs - lastActivityNs >= MAX_IN_FLIGHT_NS);
+    return state == State.HALF_CLOSED && !readCompleted && nsUntilNothingInFlight() <= 0;
+  }
+
+  /**
+   * Returns how long it takes at least until nothing that the peer sent can be in flight: from the
+   * last activity on while the connection is open; where the output was shut down while something
+   * could be, from then on.
+   */
+  long nsUntilNothingInFlight() {
+    boolean quietAtShutdown = outputShutdownNs - lastActivityNs >= MAX_IN_FLIGHT_NS;
+    long sinceNs =
+        state == State.HALF_CLOSED && !quietAtShutdown ? outputShutdownNs : lastActivityNs;
+    return sinceNs + MAX_IN_FLIGHT_NS - System.nanoTime();
   }
 
   /**
--- a/src/main/java/rosecleat/net/IdleConnectionEvictor.java
+++ b/src/main/java/rosecleat/net/IdleConnectionEvictor.java
@@ -3,17 +3,17 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
  * Frees places for new connections at a listener that has reached its maximum, by closing
- * connections that carry nothing: first those that were never used, then the longest idle. How many
- * places it aims at doubles while they are taken again as fast as they are freed.
+ * connections that carry nothing: all that were never used, and where those are not enough, the
+ * longest idle. How many idle ones it aims at doubles while places are taken again as fast as they
+ * are freed.
  *
  * <p>A connection that was never used and is young may be about to send its first request, and
- * stays. For the loop alone.
+ * stays. So each place is free again after the time in which bytes can be in flight ({@link
+ * Connection#MAX_IN_FLIGHT_NS}), however many silent clients take it. For the loop alone.
  */
 final class IdleConnectionEvictor {
   /** At most one in so many of all places is aimed at. */
@@ -22,8 +22,15 @@
   /** Demand longer ago than this says nothing of how many places are needed now. */
   private static final long DEMAND_WINDOW_NS = 1_000_000_000;
 
+  /** The longest time to the next attempt: connections become idle at any time (ns). */
+  private static final long MAX_RETRY_DELAY_NS = 20_000_000;
+
+  /** The shortest time to the next attempt, which bounds what attempts cost (ns). */
+  private static final long MIN_RETRY_DELAY_NS = 1_000_000;
+
   private int targetPlaces = 1;
   private long lastDemandNs = System.nanoTime() - DEMAND_WINDOW_NS;
+  private long retryDelayNs = MAX_RETRY_DELAY_NS;
 
   /** Records that the maximum was reached, and adapts the number of places to free. */
   void recordDemand(int maxConnections) {
@@ -36,45 +43,85 @@
   }
 
   /**
-   * Closes connections that carry nothing until the target is met, counting those that are ending
-   * already. Idle connections are closed gracefully: their places are free once they have ended.
+   * Closes connections that carry nothing: every one that was never used and is not young, and idle
+   * ones until the target is met. Those of which bytes may be in flight are left alone while others
+   * will do: once they have been quiet, their places are free at once, while a place of one that is
+   * closed earlier stays taken until its peer can have learned of that.
    *
    * @return whether a place will be free
    */
   boolean evict(Collection<Connection> open) {
-    long now = System.nanoTime();
-    int ending = 0;
-    List<Connection> candidates = new ArrayList<>();
-    Set<Connection> unused = new HashSet<>();
+    retryDelayNs = MAX_RETRY_DELAY_NS;
+    int freed = 0;
+    int soonFree = 0;
+    List<Connection> idle = new ArrayList<>();
     for (Connection connection : List.copyOf(open)) {
-      if (connection.isClosed()) {
-        ending++;
-        abortIfLingering(connection);
-        continue;
-      }
       ConnectionUsage usage = connection.usage();
-      if (usage == ConnectionUsage.UNUSED
-          && now - connection.lastActivityNs() > Connection.MAX_IN_FLIGHT_NS) {
-        unused.add(connection);
-        candidates.add(connection);
+      if (connection.isClosed()) {
+        soonFree++;
+        abortOnceQuiet(connection);
+      } else if (usage == ConnectionUsage.UNUSED && isQuiet(connection)) {
+        freed++;
+        close(connection);
+      } else if (usage == ConnectionUsage.UNUSED) {
+        soonFree++;
+        retryOnceQuiet(connection);
       } else if (usage == ConnectionUsage.IDLE) {
-        candidates.add(connection);
+        idle.add(connection);
       }
     }
-    candidates.sort(
-        Comparator.<Connection, Boolean>comparing(connection -> !unused.contains(connection))
-            .thenComparingLong(Connection::lastActivityNs));
-    int count = Math.max(0, Math.min(candidates.size(), targetPlaces - ending));
-    for (Connection connection : candidates.subList(0, count)) {
-      connection.closeGracefully();
-      abortIfLingering(connection);
+    idle.sort(Comparator.comparingLong(Connection::lastActivityNs));
+    freed += closeQuiet(idle, targetPlaces - freed);
+    if (freed + soonFree == 0) {
+      return closeLongestIdle(idle);
+    }
+    return true;
+  }
+
+  /** Closes quiet connections, the longest idle first; returns how many. */
+  private int closeQuiet(List<Connection> idle, int limit) {
+    int closed = 0;
+    for (Connection connection : idle) {
+      if (!isQuiet(connection)) {
+        retryOnceQuiet(connection);
+      } else if (closed < limit) {
+        close(connection);
+        closed++;
+      }
     }
-    return ending > 0 || count > 0;
+    return closed;
   }
 
-  private static void abortIfLingering(Connection connection) {
+  /** All are in use, or have been until a moment ago. */
+  private boolean closeLongestIdle(List<Connection> idle) {
+    idle.subList(0, Math.min(idle.size(), targetPlaces)).forEach(this::close);
+    return !idle.isEmpty();
+  }
+
+  /** How long after {@link #evict} the next attempt may free more places (us). */
+  long retryDelayUs() {
+    return retryDelayNs / 1_000;
+  }
+
+  private void close(Connection connection) {
+    connection.closeGracefully();
+    abortOnceQuiet(connection);
+  }
+
+  private void abortOnceQuiet(Connection connection) {
     if (connection.lingersWithNothingInFlight()) {
       connection.abort("its place is needed");
+    } else {
+      retryOnceQuiet(connection);
     }
   }
+
+  private static boolean isQuiet(Connection connection) {
+    return connection.nsUntilNothingInFlight() <= 0;
+  }
+
+  private void retryOnceQuiet(Connection connection) {
+    long delayNs = Math.max(MIN_RETRY_DELAY_NS, connection.nsUntilNothingInFlight());
+    retryDelayNs = Math.min(retryDelayNs, delayNs);
+  }
 }
--- a/src/main/java/rosecleat/net/Listener.java
+++ b/src/main/java/rosecleat/net/Listener.java
@@ -23,9 +23,6 @@
   private static final int BACKLOG = 1024;
   private static final long ACCEPT_RETRY_DELAY_US = 20_000;
 
-  /** How often eviction is retried while the maximum is reached (us). */
-  private static final long EVICTION_RETRY_DELAY_US = 20_000;
-
   /** An accept that has been pending for so long found the backlog empty (ns). */
   private static final long BACKLOG_EMPTY_AFTER_NS = 5_000_000;
 
@@ -193,7 +190,7 @@
     }
     evictionScheduled = true;
     loop.schedule(
-        EVICTION_RETRY_DELAY_US,
+        evictor.retryDelayUs(),
         () -> {
           evictionScheduled = false;
           if (pausedAtMaximum && !closed) {
