End the thread for sockets before the virtual machine, so that a process ends in time

Symptom: with clients that keep their connections the process ended 0.05 to 0.2 s after stop_ms; SIGKILL came first. Cause: Runtime.halt waits up to 0.3 s for threads in system calls, and the thread for sockets is in one: the exit came 0.33 to 0.35 s behind the node's last line. Change: that thread is ended first; the node finishes 200 ms before stop_ms, and the last steps share a due time 50 ms before it.

--- a/src/main/java/rosecleat/net/EventLoop.java
+++ b/src/main/java/rosecleat/net/EventLoop.java
@@ -74,6 +74,17 @@
     }
   }
 
+  /**
+   * Ends the loop and waits until its thread for sockets has left the system's call for their
+   * events: the end of a virtual machine waits up to 0.3 s for threads in such calls.
+   *
+   * @return whether that thread has ended in time
+   */
+  public boolean close(long timeoutMs) throws InterruptedException {
+    close();
+    return group.awaitTermination(timeoutMs, TimeUnit.MILLISECONDS);
+  }
+
   /** Ends the loop; channels still open are closed. */
   @Override
   public void close() {
--- a/src/main/java/rosecleat/node/Node.java
+++ b/src/main/java/rosecleat/node/Node.java
@@ -142,6 +142,13 @@
     }
   }
 
+  /** Closes all sockets and ends the loop, within a time; for any other thread. */
+  void closeNetwork(long timeoutMs) throws InterruptedException {
+    if (!parts.loop.close(timeoutMs)) {
+      parts.log.warn("the thread for sockets has not ended in time");
+    }
+  }
+
   /** Ends the node at once. */
   @Override
   public void close() {
--- a/src/main/java/rosecleat/node/NodeProcess.java
+++ b/src/main/java/rosecleat/node/NodeProcess.java
@@ -21,8 +21,11 @@
   /** The result of a start in place of an exit code: the process keeps running. */
   public static final int KEEPS_RUNNING = -1;
 
-  /** The process ends this long before it would be killed, whatever the node does (us). */
-  private static final long END_MARGIN_US = 75_000;
+  /** The node is waited for until so long before the process would be killed (us). */
+  private static final long NODE_MARGIN_US = 150_000;
+
+  /** The virtual machine is ended so long before the process would be killed (us). */
+  private static final long EXIT_MARGIN_US = 50_000;
 
   private final Log log;
   private final CountDownLatch completed = new CountDownLatch(1);
@@ -136,16 +139,28 @@
       log.close(); // no client was served: the process ends with the code it was given
       return;
     }
-    long timeUs = built.get().beginShutdown(completed::countDown);
     try {
-      if (!completed.await(timeUs - END_MARGIN_US, TimeUnit.MICROSECONDS)) {
-        log.warn("the time to leave ran out");
-      }
+      shutDown(built.get());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    built.get().awaitStored(Node.CLOSE_TIMEOUT_MS);
-    log.close(Node.CLOSE_TIMEOUT_MS); // the process is killed shortly after
-    Runtime.getRuntime().halt(0);
+    Runtime.getRuntime().halt(0); // the process is killed shortly after
+  }
+
+  private void shutDown(Node built) throws InterruptedException {
+    long timeUs = built.beginShutdown(completed::countDown);
+    long exitDueNs = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(timeUs - EXIT_MARGIN_US);
+    if (!completed.await(timeUs - NODE_MARGIN_US, TimeUnit.MICROSECONDS)) {
+      log.warn("the time to leave ran out");
+    }
+    built.awaitStored(closeTimeoutMs(exitDueNs));
+    built.closeNetwork(closeTimeoutMs(exitDueNs));
+    log.close(closeTimeoutMs(exitDueNs));
+  }
+
+  /** How long one of the last steps may take: no step uses up the time of the exit itself. */
+  private static long closeTimeoutMs(long exitDueNs) {
+    long remainingMs = TimeUnit.NANOSECONDS.toMillis(exitDueNs - System.nanoTime());
+    return Math.max(1, Math.min(Node.CLOSE_TIMEOUT_MS, remainingMs));
   }
 }
--- a/src/main/java/rosecleat/node/ShutdownPhase.java
+++ b/src/main/java/rosecleat/node/ShutdownPhase.java
@@ -7,8 +7,12 @@
  * nothing is left or the time is up.
  */
 abstract class ShutdownPhase {
-  /** The node ends this long before its process would be killed (us). */
-  static final long END_MARGIN_US = 150_000;
+  /**
+   * The node ends this long before its process would be killed (us): a tick may be late, estimates
+   * and log lines are written, and the virtual machine ends. Clients were told the end {@link
+   * #RESPOND_MARGIN_US} before, and the protocol gives what they sent meanwhile 50 ms to cross it.
+   */
+  static final long END_MARGIN_US = 200_000;
 
   /** Requests that still await a response get one this long before the process is killed (us). */
   private static final long RESPOND_MARGIN_US = 300_000;
