Await one table that processes keep, not a digest that one of them shows for a moment

Symptom: RoutesTest.partitionsTornExchangesAndOldFilesEndInOneTable failed at times beside load. Change: it awaits one table with exactly the published instances, sees that all keep it for 1 s, and forces that order.

--- a/src/test/java/rosecleat/harness/RoutesTest.java
+++ b/src/test/java/rosecleat/harness/RoutesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntUnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +30,9 @@
  * pieces break.
  */
 class RoutesTest {
+  /** A table that all agree on is kept for so long: five periods of the membership protocol. */
+  private static final long KEPT_NS = 1_000_000_000;
+
   @TempDir Path folder;
   private final FakeUwsgiService one = new FakeUwsgiService();
   private final FakeUwsgiService two = new FakeUwsgiService();
@@ -80,6 +85,40 @@
         });
   }
 
+  /**
+   * Waits until processes hold one table with exactly these instances, and sees that they keep it.
+   * The digest that one of them shows as soon as it knows an instance will not do: a process that
+   * has just started shows a table of its own file alone, until it has met the others.
+   */
+  private void awaitOneTable(Set<String> instances, int... where) throws InterruptedException {
+    site.await("one table of " + instances, 20, () -> holdOneTable(instances, where));
+    String digest = tableDigest(where[0]);
+    long keptUntilNs = System.nanoTime() + KEPT_NS;
+    while (System.nanoTime() < keptUntilNs) {
+      assertTrue(holdOneTable(instances, where), "not kept: " + instances);
+      assertEquals(digest, tableDigest(where[0]));
+    }
+  }
+
+  private boolean holdOneTable(Set<String> instances, int... where) {
+    Set<String> digests = new HashSet<>();
+    for (int process : where) {
+      JsonNode table = site.adminJson(process, "/v1/routes");
+      Set<String> names = new HashSet<>();
+      table
+          .path("services")
+          .path("cards")
+          .path("instances")
+          .fieldNames()
+          .forEachRemaining(names::add);
+      if (!names.equals(instances)) {
+        return false;
+      }
+      digests.add(table.path("digest").asText());
+    }
+    return digests.size() == 1;
+  }
+
   private UwsgiClient.Reply ask(int at) {
     try {
       return UwsgiClient.exchange(
@@ -208,23 +247,33 @@
   }
 
   private void publishOnBothSidesOfAPartition() throws Exception {
-    site.links.setConditions(
-        (from, to) ->
-            from >= 0 && (from < 2) == (to < 2) ? LinkCondition.CLEAR : LinkCondition.CUT);
+    partition(from -> from < 2 ? 0 : 1);
     site.await(
         "split",
         30,
         () -> site.state(0, "n4").equals("dead") && site.state(4, "n0").equals("dead"));
     publish(line("c1", one, "on") + ", " + line("left", two, "on"));
-    inForce(digest(0, "left"), 0, 1);
+    awaitOneTable(Set.of("c1", "left"), 0, 1);
     String seeds = "\"" + site.advertisedAddress(3) + "\"";
     site.configure(4, "n4", seeds, "routes: {file: other.yaml}\n");
     Files.writeString(
         folder.resolve("other.yaml"),
         "services: {cards: {instances: {" + line("right", two, "on") + "}}}");
     site.signal(4, "KILL");
+    partition(from -> from < 2 ? 0 : from == 4 ? 2 : 1); // it shows its own file alone at first
     site.start(4);
-    inForce(digest(4, "right"), 2, 3, 4);
+    awaitOneTable(Set.of("right"), 4);
+    partition(from -> from < 2 ? 0 : 1);
+    awaitOneTable(Set.of("c1", "right"), 2, 3, 4);
+  }
+
+  /** Cuts all links but those within a group; a process is given by its number. */
+  private void partition(IntUnaryOperator groupOf) {
+    site.links.setConditions(
+        (from, to) ->
+            from >= 0 && groupOf.applyAsInt(from) == groupOf.applyAsInt(to)
+                ? LinkCondition.CLEAR
+                : LinkCondition.CUT);
   }
 
   private void healWithTornExchanges() throws Exception {
@@ -232,7 +281,6 @@
     site.links.setConditions((from, to) -> LinkCondition.CLEAR);
     site.await("torn", 30, () -> site.links.torn.get() > 3);
     site.links.tearAfter = 0;
-    digest(4, "left");
-    inForce(digest(0, "right"), site.all());
+    awaitOneTable(Set.of("c1", "left", "right"), site.all());
   }
 }
