Add a seeded soak test of a node between its peers, and log all counters

Each run draws settings, clients, a crowd, troubles of the peers and series of signals from its seed; clients use open connections until the end, SIGKILL comes at stop_ms.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,13 @@
 clean:
 	mvn -q -B clean
 
+# The soak test with other seeds: RUNS runs from SEED on, each drawn from its seed. `make test` plays a short set.
+.PHONY: soak
+SEED = 1
+RUNS = 50
+soak:
+	mvn -B test -Dtest=SoakTest -Dsoak.seed=$(SEED) -Dsoak.runs=$(RUNS)
+
 # Measurements; long, and no part of the tests. Each prints the table that docs/measurements keeps.
 .PHONY: measure-classes measure-state measure-store measure-fleet measure-routes measure-ramp
 
--- a/src/main/java/rosecleat/log/Log.java
+++ b/src/main/java/rosecleat/log/Log.java
@@ -16,7 +16,7 @@
   private static final int QUEUE_CAPACITY = 1024;
 
   /** Characters of a line; longer ones are cut, since callers may send text of any length. */
-  private static final int MAX_LINE_CHARS = 400;
+  public static final int MAX_LINE_CHARS = 400;
 
   /** How long {@link #close()} waits for the writer. */
   private static final long CLOSE_TIMEOUT_MS = 200;
--- a/src/main/java/rosecleat/node/Node.java
+++ b/src/main/java/rosecleat/node/Node.java
@@ -71,7 +71,7 @@
     parts.loop.schedule(
         periodUs,
         () -> {
-          parts.log.info(parts.counters.toString());
+          parts.logCounters();
           logCounters(periodUs);
         });
   }
--- a/src/main/java/rosecleat/node/NodeParts.java
+++ b/src/main/java/rosecleat/node/NodeParts.java
@@ -65,6 +65,11 @@
     frontends = createFrontends(config);
   }
 
+  /** Logs all counters; the log would cut a line that is too long. */
+  void logCounters() {
+    counters.toLines(Log.MAX_LINE_CHARS).forEach(log::info);
+  }
+
   private Optional<RuntimeClient> createRuntime(NodeConfig node) {
     return node.runtimeAddress() == null
         ? Optional.empty()
--- a/src/main/java/rosecleat/node/ShutdownSequence.java
+++ b/src/main/java/rosecleat/node/ShutdownSequence.java
@@ -120,7 +120,7 @@
   private void complete(long nowUs) {
     parts.limitShares.refresh(true); // its calls count on for the processes that stay
     parts.persistence.saveAndRelease(nowUs);
-    parts.log.info(parts.counters.toString());
+    parts.logCounters();
     phase = Optional.empty();
     onCompletion.run();
   }
--- /dev/null
+++ b/src/test/java/rosecleat/core/CountersTest.java
@@ -0,0 +1,46 @@
+package rosecleat.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The counters that a node logs at its end were cut off in the middle: a busy node's line is longer
+ * than the log writes. The soak saw it as a last count of {@code 11...}.
+ */
+class CountersTest {
+  private static final int MAX_CHARS = 60;
+
+  @Test
+  void linesHoldEveryCountWithinTheirLength() {
+    Counters counters = new Counters();
+    for (int i = 0; i < 50; i++) {
+      counters.add("counter." + i, i + 1);
+    }
+    List<String> lines = counters.toLines(MAX_CHARS);
+    StringBuilder joined = new StringBuilder("counters");
+    for (String line : lines) {
+      assertTrue(line.length() <= MAX_CHARS, line);
+      assertTrue(line.startsWith("counters "), line);
+      joined.append(line.substring("counters".length()));
+    }
+    assertEquals(counters.toString(), joined.toString());
+  }
+
+  @Test
+  void countThatIsTooLongHasALineOfItsOwn() {
+    Counters counters = new Counters();
+    counters.add("a", 1);
+    counters.add("b".repeat(MAX_CHARS), 2);
+    assertEquals(
+        List.of("counters a=1", "counters " + "b".repeat(MAX_CHARS) + "=2"),
+        counters.toLines(MAX_CHARS));
+  }
+
+  @Test
+  void nothingCountedIsOneLine() {
+    assertEquals(List.of("counters"), new Counters().toLines(MAX_CHARS));
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/soak/SoakConnection.java
@@ -0,0 +1,100 @@
+package rosecleat.soak;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import rosecleat.fakes.RespClient;
+
+/** One connection of a client: requests out, answers read by a thread of its own. */
+final class SoakConnection implements AutoCloseable {
+  private static final int MAX_OPEN_REQUESTS = 16;
+
+  private final RespClient client;
+  private final Random random;
+  private final Map<Integer, SentRequest> byTag = new ConcurrentHashMap<>();
+  private final AtomicInteger open = new AtomicInteger();
+  private final Thread reader;
+  private int lastTag;
+
+  /** When the node ended the connection; 0 while it has not. */
+  volatile long endedNs;
+
+  /** Whether this side closed it. */
+  volatile boolean closedByClient;
+
+  SoakConnection(int port, Random random) throws IOException {
+    this.random = random;
+    client = new RespClient(port, random.nextInt(4) == 0 ? random : null);
+    reader = new Thread(this::readAnswers, "soak reader");
+    reader.setDaemon(true);
+    reader.start();
+  }
+
+  boolean ended() {
+    return endedNs != 0;
+  }
+
+  boolean full() {
+    return open.get() >= MAX_OPEN_REQUESTS;
+  }
+
+  /** Sends a request, and withdraws it a little later in some cases. */
+  void send(SentRequest request, boolean retry) throws IOException {
+    int tag = ++lastTag;
+    byTag.put(tag, request);
+    open.incrementAndGet();
+    request.arrivedNs = System.nanoTime();
+    String fields =
+        RespClient.fields(
+                request.id,
+                request.tenant,
+                request.waitMs,
+                request.key.isEmpty() ? null : request.key)
+            + (retry ? ",retry=1" : "");
+    byte[] message = RespClient.array("DO", tag, request.requestClass.name(), fields, request.body);
+    client.send(java.util.Arrays.copyOf(message, message.length - 1));
+    long beforeLastByteNs = System.nanoTime();
+    client.send(new byte[] {message[message.length - 1]});
+    request.writtenNs = beforeLastByteNs;
+    if (random.nextInt(20) == 0) {
+      request.undone = true;
+      client.send(RespClient.array("UNDO", tag));
+    }
+  }
+
+  private void readAnswers() {
+    try {
+      for (List<String> words = client.answer(); words != null; words = client.answer()) {
+        answered(words);
+      }
+    } catch (IOException e) {
+      // the connection was reset: an end like any other
+    }
+    endedNs = System.nanoTime();
+  }
+
+  private void answered(List<String> words) {
+    SentRequest request = byTag.get(Integer.parseInt(words.get(0)));
+    if (request == null) {
+      return;
+    }
+    request.answeredNs = System.nanoTime();
+    synchronized (request.answers) {
+      request.answers.add(words);
+    }
+    open.decrementAndGet();
+  }
+
+  @Override
+  public void close() throws IOException {
+    closedByClient = endedNs == 0;
+    client.close();
+  }
+
+  void join() throws InterruptedException {
+    reader.join();
+  }
+}
--- /dev/null
+++ b/src/test/java/rosecleat/soak/SoakPlan.java
@@ -0,0 +1,108 @@
+package rosecleat.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import rosecleat.soak.Step.Action;
+
+/**
+ * Everything that a run draws from its seed.
+ *
+ * @param seed the seed
+ * @param classes the classes of requests
+ * @param stopMs how long after SIGTERM the platform kills the process
+ * @param graceMs how long after SIGTERM requests that arrive still run
+ * @param descriptors the limit on file descriptors
+ * @param clients how many connections send requests at a time
+ * @param pauseMs the mean pause of a client between two requests
+ * @param crowd how many idle clients connect
+ * @param registryDownAtStart whether the registry is away when the node starts
+ * @param steps what is done, in order; a SIGTERM is always among them
+ */
+record SoakPlan(
+    long seed,
+    List<RequestClassPlan> classes,
+    int stopMs,
+    int graceMs,
+    int descriptors,
+    int clients,
+    int pauseMs,
+    int crowd,
+    boolean registryDownAtStart,
+    List<Step> steps) {
+  private static final List<String> EFFECTS = List.of("pure", "token", "side_effect");
+  private static final List<String> NAMES = List.of("balance-check", "card-refresh", "card-load");
+
+  /** The class of which the fake runtime makes calls. */
+  private static final int CALLING_CLASS = 1;
+
+  private static final List<Action> TROUBLES =
+      List.of(
+          Action.RELOAD,
+          Action.MOVE_RUNTIME,
+          Action.MOVE_INDEX_AND_REGISTRY,
+          Action.CUT_RUNTIME,
+          Action.CUT_RUNTIME_LOSING_COMMANDS,
+          Action.CUT_RUNTIME_ENDING_RUNS,
+          Action.SILENCE_GAUGES,
+          Action.SPOIL_CALLS,
+          Action.REGISTRY_DOWN,
+          Action.REGISTRY_UP,
+          Action.BURST);
+
+  static SoakPlan draw(long seed) {
+    Random random = new Random(seed);
+    int descriptors = List.of(64, 96, 200, 256).get(random.nextInt(4));
+    boolean crowded = random.nextInt(3) == 0;
+    int graceMs = between(random, 200, 700);
+    return new SoakPlan(
+        seed,
+        classes(random),
+        graceMs + between(random, 1_200, 2_500),
+        graceMs,
+        descriptors,
+        between(random, 2, 10),
+        between(random, 5, 40),
+        crowded ? between(random, descriptors / 4, 2 * descriptors) : 0,
+        random.nextInt(4) == 0,
+        steps(random));
+  }
+
+  private static int between(Random random, int least, int most) {
+    return least + random.nextInt(most - least + 1);
+  }
+
+  private static List<RequestClassPlan> classes(Random random) {
+    List<RequestClassPlan> classes = new ArrayList<>();
+    for (int i = 0; i < NAMES.size(); i++) {
+      classes.add(
+          new RequestClassPlan(
+              NAMES.get(i),
+              EFFECTS.get(random.nextInt(EFFECTS.size())),
+              i == CALLING_CLASS,
+              between(random, 500, 1_500),
+              between(random, 2_000, 6_000),
+              between(random, 2, 60)));
+    }
+    return List.copyOf(classes);
+  }
+
+  /** Some troubles, SIGTERM, and some more troubles behind it. */
+  private static List<Step> steps(Random random) {
+    List<Step> steps = new ArrayList<>();
+    int before = random.nextInt(7); // none: SIGTERM may meet a node that has just started
+    for (int i = 0; i < before; i++) {
+      steps.add(new Step(between(random, 0, 400), draw(random)));
+    }
+    steps.add(new Step(between(random, 0, before == 0 ? 100 : 400), Action.TERMINATE));
+    for (int i = random.nextInt(4); i > 0; i--) {
+      Action action = random.nextInt(3) == 0 ? Action.TERMINATE : draw(random);
+      steps.add(new Step(between(random, 0, 300), action));
+    }
+    return List.copyOf(steps);
+  }
+
+  private static Action draw(Random random) {
+    return TROUBLES.get(random.nextInt(TROUBLES.size()));
+  }
+}
