Take no process that leaves for one that takes over; soak take-overs and starts

Cause: a live successor counted as one that takes over though it was leaving itself. Change: a process that is told to leave marks that beside its other marker files; TakeoverTest.predecessorDrainsWhenItsSuccessorIsLeaving was red before. The soak also plays take-overs and SIGTERM in a start now.

--- a/src/main/java/rosecleat/net/EventLoop.java
+++ b/src/main/java/rosecleat/net/EventLoop.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -59,9 +60,16 @@
     }
   }
 
-  /** Runs a task on the loop after a delay in microseconds; cancel the future to call it off. */
+  /**
+   * Runs a task on the loop after a delay in microseconds; cancel the future to call it off.
+   * Dropped once the loop is closed.
+   */
   public Future<?> schedule(long delayUs, Runnable task) {
-    return executor.schedule(() -> runGuarded(task), Math.max(0, delayUs), TimeUnit.MICROSECONDS);
+    try {
+      return executor.schedule(() -> runGuarded(task), Math.max(0, delayUs), TimeUnit.MICROSECONDS);
+    } catch (RejectedExecutionException e) {
+      return CompletableFuture.completedFuture(null); // the loop is closed
+    }
   }
 
   /** Guards the loop: whatever a task throws ends that task alone. */
--- a/src/main/java/rosecleat/node/ShutdownSequence.java
+++ b/src/main/java/rosecleat/node/ShutdownSequence.java
@@ -65,7 +65,8 @@
    * @return how long the process has until it is killed (us)
    */
   long begin(Runnable completed) {
-    boolean takenOver = parts.takeover.successorIsAlive();
+    parts.takeover.markLeaving();
+    boolean takenOver = parts.takeover.successorTakesOver();
     long timeUs =
         takenOver
             ? Math.min(parts.core.maxTimeoutUs(), MAX_COUNTED_TIMEOUT_US) + KILL_DELAY_US
--- a/src/main/java/rosecleat/node/TakeoverPhase.java
+++ b/src/main/java/rosecleat/node/TakeoverPhase.java
@@ -26,9 +26,11 @@
     return listenersClosed || hurried;
   }
 
-  /** Returns whether the successor has ended while this process can still do without it. */
+  /**
+   * Returns whether the successor has ended or leaves while this process can still do without it.
+   */
   boolean isAbandoned() {
-    return !listenersClosed && !parts.takeover.successorIsAlive();
+    return !listenersClosed && !parts.takeover.successorTakesOver();
   }
 
   /**
--- a/src/main/java/rosecleat/takeover/NoPeers.java
+++ b/src/main/java/rosecleat/takeover/NoPeers.java
@@ -30,7 +30,7 @@
   }
 
   @Override
-  public boolean successorIsAlive() {
+  public boolean successorTakesOver() {
     return false;
   }
 
@@ -42,6 +42,9 @@
   @Override
   public void markServing() {}
 
+  @Override
+  public void markLeaving() {}
+
   @Override
   public boolean isDrained() {
     return drained;
--- a/src/main/java/rosecleat/takeover/ProcessMarkers.java
+++ b/src/main/java/rosecleat/takeover/ProcessMarkers.java
@@ -23,6 +23,7 @@
 final class ProcessMarkers implements AutoCloseable {
   private static final String PROCESS_PREFIX = "process-";
   private static final String SERVING_PREFIX = "serves-";
+  private static final String LEAVING_PREFIX = "leaves-";
 
   /** A process number has at most this many digits, so that it fits an int. */
   private static final int MAX_DIGITS = 9;
@@ -96,8 +97,19 @@
     return Files.exists(servingFile(number));
   }
 
+  /** Announces that this process was told to leave; for any thread. */
+  void markLeaving() throws IOException {
+    Files.write(leavingFile(ownNumber), new byte[0]);
+  }
+
+  /** Returns whether the process of a number has announced that it leaves. */
+  boolean isLeaving(int number) {
+    return Files.exists(leavingFile(number));
+  }
+
   /** Removes the markers of a dead process. */
   void remove(int deadNumber) throws IOException {
+    Files.deleteIfExists(leavingFile(deadNumber));
     Files.deleteIfExists(servingFile(deadNumber));
     Files.deleteIfExists(processFile(deadNumber));
   }
@@ -106,6 +118,10 @@
     return folder.resolve(PROCESS_PREFIX + number);
   }
 
+  private Path leavingFile(int number) {
+    return folder.resolve(LEAVING_PREFIX + number);
+  }
+
   private Path servingFile(int number) {
     return folder.resolve(SERVING_PREFIX + number);
   }
--- a/src/main/java/rosecleat/takeover/SharedFolderCoordinator.java
+++ b/src/main/java/rosecleat/takeover/SharedFolderCoordinator.java
@@ -122,10 +122,11 @@
   }
 
   @Override
-  public boolean successorIsAlive() {
+  public boolean successorTakesOver() {
     try {
       return markers.processNumbers().stream()
-          .anyMatch(number -> number > markers.ownNumber() && markers.isAlive(number));
+          .filter(number -> number > markers.ownNumber())
+          .anyMatch(number -> markers.isAlive(number) && !markers.isLeaving(number));
     } catch (IOException e) {
       return false;
     }
@@ -145,6 +146,15 @@
     }
   }
 
+  @Override
+  public void markLeaving() {
+    try {
+      markers.markLeaving();
+    } catch (IOException e) {
+      log.warn("older processes can't be told that this one leaves: " + e);
+    }
+  }
+
   @Override
   public boolean isDrained() {
     return drained;
--- a/src/main/java/rosecleat/takeover/TakeoverCoordinator.java
+++ b/src/main/java/rosecleat/takeover/TakeoverCoordinator.java
@@ -11,7 +11,7 @@
 /**
  * The peer processes of this node: predecessors, which started earlier, and successors, which take
  * over from it. What the methods return was true at the last {@link #poll}. For the event loop
- * only, except for {@link #successorIsAlive}.
+ * only, except for {@link #successorTakesOver} and {@link #markLeaving}.
  */
 public interface TakeoverCoordinator extends AutoCloseable {
   /**
@@ -50,8 +50,11 @@
   /** Returns whether a predecessor is alive. */
   boolean predecessorIsAlive();
 
-  /** Returns whether a successor is alive, looked up at the time of the call; for any thread. */
-  boolean successorIsAlive();
+  /**
+   * Returns whether a successor is alive that was not told to leave itself, looked up at the time
+   * of the call; for any thread.
+   */
+  boolean successorTakesOver();
 
   /** Returns whether a successor is alive and accepts clients. */
   boolean successorIsServing();
@@ -59,6 +62,9 @@
   /** Announces that this process accepts clients. */
   void markServing();
 
+  /** Announces that this process was told to leave, so that it takes over from none; any thread. */
+  void markLeaving();
+
   /** Returns whether operators have drained this node, through whichever of its processes. */
   boolean isDrained();
 
--- a/src/main/java/rosecleat/takeover/package-info.java
+++ b/src/main/java/rosecleat/takeover/package-info.java
@@ -8,7 +8,7 @@
  * read by older and newer versions of the program and must not change.
  *
  * <p>All state belongs to the node's event loop; only {@link
- * rosecleat.takeover.TakeoverCoordinator#successorIsAlive} may be called from any thread. The
+ * rosecleat.takeover.TakeoverCoordinator#successorTakesOver} may be called from any thread. The
  * package uses the core's claims and counters, the log and the parser of numbers; it knows neither
  * protocols nor the node. Start reading at {@link rosecleat.takeover.TakeoverCoordinator}.
  */
--- a/src/test/java/rosecleat/node/TakeoverTest.java
+++ b/src/test/java/rosecleat/node/TakeoverTest.java
@@ -231,6 +231,22 @@
     assertEquals(List.of(), newRuntime.starts);
   }
 
+  /**
+   * Both processes of a node were told to leave, the newer one first. The older one held it for the
+   * one that takes over, and went on to run requests that came long after the grace.
+   */
+  @Test
+  void predecessorDrainsWhenItsSuccessorIsLeaving() throws Exception {
+    startNewer();
+    newer.beginShutdown(() -> {});
+    older.beginShutdown(() -> {});
+    await(() -> ask(older, Core::draining));
+    await(() -> ask(older, Core::gracePeriodEnded));
+    send(client, 1, "balance-check", null, "late");
+    assertEquals("BUSY", client.answer().get(1));
+    assertEquals(List.of(), oldRuntime.starts);
+  }
+
   @Test
   void drainByOperatorsReachesBothProcesses() throws Exception {
     startNewer();
--- a/src/test/java/rosecleat/soak/SoakConnection.java
+++ b/src/test/java/rosecleat/soak/SoakConnection.java
@@ -12,6 +12,9 @@
 final class SoakConnection implements AutoCloseable {
   private static final int MAX_OPEN_REQUESTS = 16;
 
+  /** The first tag of a connection. */
+  private static final String HEALTH_CHECK_TAG = "1";
+
   private final RespClient client;
   private final Random random;
   private final Map<Integer, SentRequest> byTag = new ConcurrentHashMap<>();
@@ -22,12 +25,19 @@
   /** When the node ended the connection; 0 while it has not. */
   volatile long endedNs;
 
+  /**
+   * When the node is known to have begun to read; 0 where that is not known. A health check goes
+   * before everything else and is answered as soon as it is read.
+   */
+  volatile long readSinceNs;
+
   /** Whether this side closed it. */
   volatile boolean closedByClient;
 
   SoakConnection(int port, Random random) throws IOException {
     this.random = random;
     client = new RespClient(port, random.nextInt(4) == 0 ? random : null);
+    client.send(RespClient.array("PING", ++lastTag, ""));
     reader = new Thread(this::readAnswers, "soak reader");
     reader.setDaemon(true);
     reader.start();
@@ -77,6 +87,10 @@
   }
 
   private void answered(List<String> words) {
+    if (words.get(0).equals(HEALTH_CHECK_TAG)) {
+      readSinceNs = System.nanoTime();
+      return;
+    }
     SentRequest request = byTag.get(Integer.parseInt(words.get(0)));
     if (request == null) {
       return;
--- a/src/test/java/rosecleat/soak/Step.java
+++ b/src/test/java/rosecleat/soak/Step.java
@@ -17,6 +17,12 @@
     MOVE_INDEX_AND_REGISTRY,
     /** SIGTERM; the first one begins the shutdown. */
     TERMINATE,
+    /**
+     * Another process of the node starts at the same address, and is waited for until it serves.
+     */
+    START_SUCCESSOR,
+    /** SIGTERM to that other process. */
+    TERMINATE_SUCCESSOR,
     /** The connection to the runtime breaks. */
     CUT_RUNTIME,
     /** The connection to the runtime breaks and takes the last commands with it. */
