--- a/src/test/java/rosecleat/harness/ProcessExitTest.java
+++ b/src/test/java/rosecleat/harness/ProcessExitTest.java
@@ -110,7 +110,7 @@
 
   private static void assertEndsBeforeKill(ServeProcess node, int stopMs) throws Exception {
     long signalledNs = System.nanoTime();
-    node.signal("TERM");
+    node.terminate();
     boolean ended = node.awaitExit(TimeUnit.MILLISECONDS.toNanos(stopMs));
     long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledNs);
     if (!ended) {
--- a/src/test/java/rosecleat/harness/ServeProcess.java
+++ b/src/test/java/rosecleat/harness/ServeProcess.java
@@ -87,7 +87,12 @@
     Files.writeString(configFile, config);
   }
 
-  /** Sends a signal by its name, such as {@code TERM}. */
+  /** Sends SIGTERM, which has arrived when this returns. */
+  public void terminate() {
+    process.toHandle().destroy();
+  }
+
+  /** Sends another signal by its name, such as {@code HUP}, which takes some milliseconds. */
   public void signal(String name) throws IOException, InterruptedException {
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
   }
--- a/src/test/java/rosecleat/soak/SoakNode.java
+++ b/src/test/java/rosecleat/soak/SoakNode.java
@@ -56,12 +56,12 @@
    *
    * @param successorServes whether another process has taken over by then
    */
-  void terminate(boolean successorServes) throws Exception {
+  void terminate(boolean successorServes) {
     if (terminatedNs == 0) {
       takenOver = successorServes;
       terminatedNs = System.nanoTime();
     }
-    process.signal("TERM");
+    process.terminate();
   }
 
   boolean terminated() {
--- a/src/test/java/rosecleat/soak/SoakRun.java
+++ b/src/test/java/rosecleat/soak/SoakRun.java
@@ -180,7 +180,7 @@
     }
   }
 
-  private void terminate(SoakNode target) throws Exception {
+  private void terminate(SoakNode target) {
     if (terminatedNs == 0) {
       terminatedNs = System.nanoTime();
     }
@@ -188,7 +188,7 @@
   }
 
   /** A process that took over is told to leave once the other one has gone. */
-  private void awaitExit() throws Exception {
+  private void awaitExit() throws InterruptedException {
     node().awaitExit();
     note("the node has ended");
     if (lastNode() != node()) {
