--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -130,11 +130,6 @@
     return shutdown.gracePeriodEndedBefore(clock.getAsLong());
   }
 
-  /** Whether a run of a class may pause for a downstream call before it ends. */
-  public boolean callsDownstream(int classIndex) {
-    return settings.classes().get(classIndex).callsDownstream();
-  }
-
   /** Whether a request in flight has this position of a class. */
   public boolean classInUse(int classIndex) {
     return requests.any(request -> request.request().classIndex() == classIndex);
@@ -344,10 +339,7 @@
     resumeUnproven(id);
   }
 
-  /**
-   * Nothing proves whether a run got the reply that it waited for, and it may wait for another one
-   * by now: it is cancelled, as a repeat could be taken for the reply to that.
-   */
+  /** Nothing proves whether a paused run got what it waits for: it is cancelled. */
   public void resumeUnproven(String id) {
     requests.find(id).filter(request -> request.is(RequestState.RUNNING)).ifPresent(runs::cancel);
   }
--- a/src/main/java/rosecleat/node/JitWarmup.java
+++ b/src/main/java/rosecleat/node/JitWarmup.java
@@ -4,6 +4,7 @@
 import rosecleat.config.NodeConfig;
 import rosecleat.core.CallResult;
 import rosecleat.core.Core;
+import rosecleat.core.CoreSettings;
 import rosecleat.core.Counters;
 import rosecleat.core.DeliveryGuarantee;
 import rosecleat.core.DownstreamClient;
@@ -39,6 +40,7 @@
   private final RuntimeMessageWarmup messages = new RuntimeMessageWarmup();
   private final Counters counters = new Counters();
   private long nowUs = START_US;
+  private CoreSettings settings;
   private Core core;
 
   private JitWarmup() {}
@@ -50,15 +52,15 @@
 
   private long playRequests(NodeConfig config) {
     long endNs = System.nanoTime() + MAX_DURATION_NS;
-    IndexedSettings settings = new IndexedSettings(ProcessConfig.of(config));
+    IndexedSettings indexed = new IndexedSettings(ProcessConfig.of(config));
+    settings = indexed.coreSettings();
     PolicyEngine policy =
-        new PolicyEngine(settings.policySettings(), settings.gauges(), config.seed());
+        new PolicyEngine(indexed.policySettings(), indexed.gauges(), config.seed());
     try (Log silent = Log.silent()) { // a starting node creates no thread that it can do without
-      core =
-          new Core(settings.coreSettings(), policy, new CallQueue(), () -> nowUs, counters, silent);
+      core = new Core(settings, policy, new CallQueue(), () -> nowUs, counters, silent);
       Runner runner = new RunQueue();
       core.start(runner, false, 0);
-      RespWarmup front = new RespWarmup(settings.requestCatalog(runner));
+      RespWarmup front = new RespWarmup(indexed.requestCatalog(runner));
       for (int n = 1; n <= MAX_REQUESTS && System.nanoTime() < endNs; n++) {
         front.submitRequest(core, n, nowUs);
         nowUs += REQUEST_INTERVAL_US;
@@ -72,7 +74,7 @@
   private void completeRuns() {
     while (!started.isEmpty()) {
       Request request = started.remove();
-      if (core.callsDownstream(request.classIndex())) {
+      if (settings.classes().get(request.classIndex()).callsDownstream()) {
         byte[] body = messages.roundTrip("wants", request.id(), request.body());
         core.callRequested(request.id(), 1, body);
       }
--- a/src/main/java/rosecleat/runtime/RuntimeClient.java
+++ b/src/main/java/rosecleat/runtime/RuntimeClient.java
@@ -302,6 +302,7 @@
           counters.add("runtime.unproven");
           core.resumeUnproven(command.runId());
         }
+        default -> throw new IllegalArgumentException(command.recovery().name());
       }
     }
   }
--- a/src/test/java/rosecleat/node/DescriptorLimitTest.java
+++ b/src/test/java/rosecleat/node/DescriptorLimitTest.java
@@ -4,18 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -24,6 +20,7 @@
 import rosecleat.fakes.FakeRuntime;
 import rosecleat.fakes.RespClient;
 import rosecleat.fakes.TestSite;
+import rosecleat.harness.ServeProcess;
 
 /**
  * A process whose descriptors the system itself limits, under clients that take all they can get
@@ -32,53 +29,22 @@
 class DescriptorLimitTest {
   @TempDir Path folder;
   private final List<Socket> idle = new ArrayList<>();
+  private ServeProcess process;
   private int tag;
 
-  /**
-   * What the platform starts, but with classes from where the tests have them, and as few open
-   * jars.
-   */
-  private Process process(int descriptors, int runtime, int index, int registry, int listen)
+  private ServeProcess process(int descriptors, int runtime, int index, int registry, int listen)
       throws IOException {
-    Path config = folder.resolve("config.json");
-    Files.writeString(
-        config,
+    String config =
         TestSite.config(runtime, index, registry, 2_000, 500)
             .source()
             .toString()
             .replace("127.0.0.1:0\"", "127.0.0.1:" + listen + "\"")
-            .replace("\"sockets\":1024", "\"sockets\":" + descriptors));
-    String classes =
-        Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-            .filter(
-                part ->
-                    part.endsWith("target/classes")
-                        || part.matches(".*/(jackson-(core|databind|annotations)|jcommander)-.*"))
-            .collect(Collectors.joining(File.pathSeparator));
-    ProcessBuilder builder =
-        new ProcessBuilder(
-                "/bin/sh",
-                "-c",
-                "ulimit -n "
-                    + descriptors
-                    + " && exec "
-                    + Path.of(System.getProperty("java.home"), "bin", "java")
-                    + " -Xmx40m -cp '"
-                    + classes
-                    + "' rosecleat.cli.Main serve")
-            .redirectErrorStream(true)
-            .redirectOutput(folder.resolve("log").toFile());
-    builder.environment().put("PROXY_CONFIG", config.toString());
-    builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
-    return builder.start();
+            .replace("\"sockets\":1024", "\"sockets\":" + descriptors);
+    return ServeProcess.start(folder, "node", config, descriptors);
   }
 
   private String log() {
-    try {
-      return Files.readString(folder.resolve("log"));
-    } catch (IOException e) {
-      throw new java.io.UncheckedIOException(e);
-    }
+    return process.log();
   }
 
   private void await(String what, BooleanSupplier condition) throws InterruptedException {
@@ -99,8 +65,7 @@
   @ParameterizedTest
   @ValueSource(ints = {64, 200})
   void idleClientsLeaveDescriptorsForRuntimeIndexAndRegistry(int descriptors) throws Exception {
-    Process process = null;
-    int listen = freePort();
+    int listen = ServeProcess.freePort();
     try (FakeRuntime runtime = new FakeRuntime(5);
         FakeIndex index = new FakeIndex();
         FakeRegistry registry = new FakeRegistry()) {
@@ -127,7 +92,7 @@
       assertFalse(log().contains("Too many open files") || log().contains("no socket"), log());
     } finally {
       if (process != null) {
-        process.destroyForcibly().waitFor();
+        process.close();
       }
       for (Socket socket : idle) {
         socket.close();
@@ -145,8 +110,7 @@
   @ParameterizedTest
   @ValueSource(ints = {64, 200})
   void requestBehindIdleClientsIsAnsweredWithinItsObjective(int descriptors) throws Exception {
-    Process process = null;
-    int listen = freePort();
+    int listen = ServeProcess.freePort();
     try (FakeRuntime runtime = new FakeRuntime(5);
         FakeIndex index = new FakeIndex();
         FakeRegistry registry = new FakeRegistry()) {
@@ -165,7 +129,7 @@
       }
     } finally {
       if (process != null) {
-        process.destroyForcibly().waitFor();
+        process.close();
       }
       for (Socket socket : idle) {
         socket.close();
@@ -183,11 +147,4 @@
       }
     }
   }
-
-  private static int freePort() throws IOException {
-    try (java.net.ServerSocket server =
-        new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return server.getLocalPort();
-    }
-  }
 }
--- a/src/test/java/rosecleat/soak/SoakRun.java
+++ b/src/test/java/rosecleat/soak/SoakRun.java
@@ -142,6 +142,7 @@
       case REGISTRY_DOWN -> setRegistryDown(true);
       case REGISTRY_UP -> setRegistryDown(false);
       case BURST -> clients.forEach(client -> client.burst(BURST_REQUESTS));
+      default -> throw new IllegalArgumentException(action.name());
     }
   }
 
