--- a/src/main/java/rosecleat/core/FailureReason.java
+++ b/src/main/java/rosecleat/core/FailureReason.java
@@ -43,7 +43,7 @@
   /** The peer closed the connection. */
   CLOSED_BY_PEER("the peer closed"),
   /** The connection's owner threw an exception. */
-  OWNER_FAILED("failed here"),
+  HANDLER_FAILED("failed here"),
   /** This process aborted the connection; the detail says why. */
   ABORTED("");
 
--- a/src/main/java/rosecleat/fleet/Member.java
+++ b/src/main/java/rosecleat/fleet/Member.java
@@ -72,6 +72,6 @@
 
   /** Its part of the digest of all that is held of the active members. */
   long syncDigestPart() {
-    return state.isActive() ? Hash.mix(hash + 31 * incarnation + 7919L * state.ordinal()) : 0;
+    return state.isActive() ? Hash.mix(hash + 31 * incarnation + 7919L * state.wireValue()) : 0;
   }
 }
--- a/src/main/java/rosecleat/fleet/WireCodec.java
+++ b/src/main/java/rosecleat/fleet/WireCodec.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import rosecleat.fleet.wire.Datagram;
 import rosecleat.fleet.wire.MemberIdMessage;
-import rosecleat.fleet.wire.MemberStateMessage;
 import rosecleat.fleet.wire.MemberUpdateMessage;
 import rosecleat.fleet.wire.RecordUpdateMessage;
 import rosecleat.fleet.wire.SyncFrame;
@@ -16,7 +15,6 @@
  * of its bounds.
  */
 final class WireCodec {
-  private static final MemberState[] STATES = MemberState.values();
 
   /** The longest key of a record (characters). */
   private static final int MAX_KEY_LENGTH = 256;
@@ -41,7 +39,7 @@
         .setHost(ByteString.copyFrom(endpoint.host(), StandardCharsets.US_ASCII))
         .setPort(endpoint.port())
         .setZone(update.zone())
-        .setStateValue(update.state().ordinal())
+        .setStateValue(update.state().wireValue())
         .setIncarnation(update.incarnation())
         .setWitness(update.witness())
         .build();
@@ -58,11 +56,12 @@
   static Optional<MemberUpdate> decode(MemberUpdateMessage message) {
     String host = message.getHost().toString(StandardCharsets.US_ASCII);
     Endpoint endpoint = new Endpoint(host, message.getPort());
+    Optional<MemberState> state = MemberState.ofWireValue(message.getStateValue());
     if (!isName(message.getId().getName())
         || !isEpoch(message.getId().getEpoch())
         || !endpoint.isUsable()
         || message.getZone().length() > MemberId.MAX_NAME_LENGTH
-        || message.getState() == MemberStateMessage.UNRECOGNIZED
+        || state.isEmpty()
         || !isNumber(message.getIncarnation())) {
       return Optional.empty();
     }
@@ -71,7 +70,7 @@
             decode(message.getId()),
             endpoint,
             message.getZone(),
-            STATES[message.getStateValue()],
+            state.get(),
             message.getIncarnation(),
             message.getWitness()));
   }
--- a/src/main/java/rosecleat/front/uwsgi/RequestTranslator.java
+++ b/src/main/java/rosecleat/front/uwsgi/RequestTranslator.java
@@ -192,7 +192,8 @@
   }
 
   private long callerId(String team) {
-    return FIRST_CALLER_ID + callerIds.computeIfAbsent(team, absent -> callerIds.size());
+    int index = callerIds.computeIfAbsent(team, absent -> callerIds.size());
+    return (long) FIRST_CALLER_ID + index;
   }
 
   private String nextId() {
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -270,7 +270,7 @@
     } catch (RuntimeException e) {
       StackTraceElement[] trace = e.getStackTrace();
       String location = trace.length == 0 ? "" : " at " + trace[0];
-      close(new Failure(Progress.SENT, FailureReason.OWNER_FAILED, e + location), false);
+      close(new Failure(Progress.SENT, FailureReason.HANDLER_FAILED, e + location), false);
     }
   }
 
--- a/src/main/java/rosecleat/node/NodeProcess.java
+++ b/src/main/java/rosecleat/node/NodeProcess.java
@@ -80,7 +80,7 @@
     NodeProcess process = new NodeProcess(log);
     // Both are in place before the node listens. Without the hook, a SIGTERM would end the process
     // under the clients that it has accepted.
-    Runtime.getRuntime().addShutdownHook(new Thread(process::shutDown, "leave"));
+    Runtime.getRuntime().addShutdownHook(new Thread(process::shutDown, "shutdown"));
     ConfigReloader reloader = new ConfigReloader(config, reader, log);
     reloader.install();
     EventLoop loop = new EventLoop(log);
@@ -114,7 +114,7 @@
 
   private void run(
       Node built, NodeOperations operations, ConfigReloader reloader, int counterLogPeriodS) {
-    new Thread(this::keepAlive, "stay").start();
+    new Thread(this::keepAlive, "keep alive").start();
     built.onLoop(() -> operations.attach(built));
     built.start();
     reloader.setListener(built::reload);
--- a/src/main/java/rosecleat/routes/Instance.java
+++ b/src/main/java/rosecleat/routes/Instance.java
@@ -1,5 +1,11 @@
 package rosecleat.routes;
 
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
 /**
  * One instance of a service.
  *
@@ -11,11 +17,31 @@
   /** Whether it takes requests. */
   public enum State {
     /** It does. */
-    ON,
+    ON(0),
     /** It finishes what it has, and takes nothing new. */
-    DRAIN,
+    DRAIN(1),
     /** It takes nothing. */
-    OFF
+    OFF(2);
+
+    private static final Map<Integer, State> BY_WIRE_VALUE =
+        Arrays.stream(values())
+            .collect(Collectors.toUnmodifiableMap(State::wireValue, Function.identity()));
+
+    private final int wireValue;
+
+    State(int wireValue) {
+      this.wireValue = wireValue;
+    }
+
+    /** Its number on the wire. */
+    int wireValue() {
+      return wireValue;
+    }
+
+    /** The state with a number on the wire; empty where there is none. */
+    static Optional<State> ofWireValue(int wireValue) {
+      return Optional.ofNullable(BY_WIRE_VALUE.get(wireValue));
+    }
   }
 
   /**
--- a/src/main/java/rosecleat/routes/RouteCodec.java
+++ b/src/main/java/rosecleat/routes/RouteCodec.java
@@ -17,8 +17,6 @@
   /** The greatest Lamport time, far from overflow. */
   private static final long MAX_TIME = 1L << 56;
 
-  private static final Instance.State[] STATES = Instance.State.values();
-
   private RouteCodec() {}
 
   /** A frame as it came, its checksum verified. */
@@ -51,7 +49,7 @@
         .setPort(instance.port())
         .setZone(instance.zone())
         .setWeight(instance.weight())
-        .setState(instance.state().ordinal())
+        .setState(instance.state().wireValue())
         .setCapacity(instance.capacity())
         .build();
   }
@@ -97,8 +95,7 @@
         && isText(message.getHost())
         && message.getWeight() > 0
         && message.getWeight() <= MAX_WEIGHT
-        && message.getState() >= 0
-        && message.getState() < STATES.length
+        && Instance.State.ofWireValue(message.getState()).isPresent()
         && message.getCapacity() >= 0
         && isText(message.getZone());
   }
@@ -109,7 +106,7 @@
         message.getPort(),
         message.getZone(),
         message.getWeight(),
-        STATES[message.getState()],
+        Instance.State.ofWireValue(message.getState()).orElseThrow(),
         message.getCapacity());
   }
 }
--- a/src/test/java/rosecleat/fleet/RecordStoreTest.java
+++ b/src/test/java/rosecleat/fleet/RecordStoreTest.java
@@ -31,7 +31,7 @@
   /** A record of few owners, epochs and versions, so that many have one key. */
   private static FleetRecord recordOf(long choice) {
     String owner = "o" + Math.floorMod(choice, 2);
-    long epoch = 1 + Math.floorMod(choice / 2, 2);
+    long epoch = 1L + Math.floorMod(choice / 2, 2);
     long version = Math.floorMod(choice / 4, 4);
     return new FleetRecord(owner, epoch, "k", "", version, 1_000, new byte[] {(byte) version});
   }
--- a/src/test/java/rosecleat/harness/ServeProcess.java
+++ b/src/test/java/rosecleat/harness/ServeProcess.java
@@ -117,8 +117,13 @@
     process.destroyForcibly();
   }
 
+  /** Kills the process and waits for its end. */
   @Override
-  public void close() throws InterruptedException {
-    process.destroyForcibly().waitFor();
+  public void close() {
+    try {
+      process.destroyForcibly().waitFor();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/src/test/java/rosecleat/harness/Site.java
+++ b/src/test/java/rosecleat/harness/Site.java
@@ -59,7 +59,7 @@
     links = new Links(fleetPorts, advertisedPorts);
     Files.writeString(folder.resolve("api.yaml"), DESCRIPTION);
     for (int i = 0; i < size; i++) {
-      configure(i, "n" + i, seeds(i), i == 0 ? "routes: {file: routes.yaml}\n" : "");
+      configure(i, "n" + i, seeds(), i == 0 ? "routes: {file: routes.yaml}\n" : "");
     }
   }
 
@@ -78,7 +78,7 @@
     }
   }
 
-  private String seeds(int i) {
+  private String seeds() {
     return String.join(
         ", ",
         IntStream.range(0, Math.min(3, size))
--- a/src/test/java/rosecleat/measure/StateStart.java
+++ b/src/test/java/rosecleat/measure/StateStart.java
@@ -124,8 +124,9 @@
   }
 
   private static Fact withImpossibleValue(Fact fact) {
-    double[] values = {Double.NaN, 0, 1e300, Double.POSITIVE_INFINITY, -1};
-    return withValue(fact, values[fact.kind().ordinal()]);
+    List<Double> values = List.of(Double.NaN, 0.0, 1e300, Double.POSITIVE_INFINITY, -1.0);
+    int position = List.of(FactKind.values()).indexOf(fact.kind());
+    return withValue(fact, values.get(position));
   }
 
   private static Fact withValue(Fact fact, double value) {
--- a/src/test/java/rosecleat/measure/StoreSpeed.java
+++ b/src/test/java/rosecleat/measure/StoreSpeed.java
@@ -35,8 +35,6 @@
 
   /** A state machine that only counts the records. */
   private static final class Counting implements StateMachineFactory, StateMachine {
-    private long records;
-
     @Override
     public int maxVersion(int type) {
       return 1;
@@ -48,9 +46,7 @@
     }
 
     @Override
-    public void apply(StoredRecord record) {
-      records++;
-    }
+    public void apply(StoredRecord record) {}
 
     @Override
     public void writeSnapshot(Consumer<StoredRecord> output) {
--- a/src/test/java/rosecleat/node/NodeIndexTest.java
+++ b/src/test/java/rosecleat/node/NodeIndexTest.java
@@ -85,7 +85,7 @@
     }
     assertEquals(spoilt.size(), count("calls.broken"));
     assertEquals(0, count("calls.cut"));
-    assertEquals(2 * spoilt.size(), count("calls.hit"));
+    assertEquals(2L * spoilt.size(), count("calls.hit"));
   }
 
   @Test
--- a/src/test/java/rosecleat/policy/EventSequenceTest.java
+++ b/src/test/java/rosecleat/policy/EventSequenceTest.java
@@ -74,8 +74,8 @@
         new PriorityClass(2, 0, 800_000, 0, 2_500_000, Idempotency.UNSAFE, 0, true, 0);
     return new SimulatedHost(
         TestSettings.with(
-            CancelMode.values()[(int) (seed % 3)],
-            LoadAdviceMode.values()[(int) (seed % 4)],
+            pick(List.of(CancelMode.values()), seed % 3),
+            pick(List.of(LoadAdviceMode.values()), seed % 4),
             DownstreamMode.SHARED,
             2,
             900,
@@ -85,6 +85,10 @@
         seed);
   }
 
+  private static <T> T pick(List<T> choices, long number) {
+    return choices.get((int) number);
+  }
+
   private static void advanceRequest(
       SimulatedHost host, SimulatedHost.HostedRequest hosted, SplittableRandom random) {
     if (hosted.state == RequestState.COMPLETED) {
@@ -102,7 +106,7 @@
             host.end(hosted, random.nextInt(9) == 0 ? Outcome.FAILED : Outcome.OK, 80_000);
           }
         }
-        case CALLING -> host.endCall(hosted, Outcome.values()[random.nextInt(6)]);
+        case CALLING -> host.endCall(hosted, pick(List.of(Outcome.values()), random.nextInt(6)));
         case ATTACHED -> host.end(hosted, Outcome.OK, 10_000);
         default -> {}
       }
--- a/src/test/java/rosecleat/soak/SoakClient.java
+++ b/src/test/java/rosecleat/soak/SoakClient.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A balancer that sends requests, also after SIGTERM, BYE and the registry's {@code off}, for as
@@ -24,7 +25,7 @@
   final List<SoakConnection> connections = new ArrayList<>();
   private volatile boolean stopping;
   private final boolean nodeMayStart;
-  private volatile int burst;
+  private final AtomicInteger burst = new AtomicInteger();
   private int lastId;
 
   SoakClient(SoakPlan plan, int number, int port) {
@@ -41,7 +42,7 @@
 
   /** Sends so many requests without pauses. */
   void burst(int count) {
-    burst = count;
+    burst.set(count);
   }
 
   @Override
@@ -76,8 +77,8 @@
   }
 
   private void pause() {
-    if (burst > 0) {
-      burst--;
+    if (burst.get() > 0) {
+      burst.decrementAndGet();
       return;
     }
     try {
--- a/src/test/java/rosecleat/soak/SoakNode.java
+++ b/src/test/java/rosecleat/soak/SoakNode.java
@@ -134,7 +134,7 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
+  public void close() {
     if (process != null) {
       process.close();
     }
