--- a/src/test/java/rosecleat/node/NodeHarness.java
+++ b/src/test/java/rosecleat/node/NodeHarness.java
@@ -9,6 +9,7 @@
 import rosecleat.config.BrokerConfigReader;
 import rosecleat.config.NodeConfig;
 import rosecleat.core.Core;
+import rosecleat.fakes.Await;
 import rosecleat.fakes.FakeRuntime;
 import rosecleat.fakes.FakeUwsgiService;
 import rosecleat.fakes.TestSite;
@@ -100,14 +101,7 @@
 
   /** Waits until something holds of the core. */
   void await(Function<Core, Boolean> condition) {
-    long end = System.nanoTime() + 10_000_000_000L;
-    while (!ask(condition)) {
-      if (System.nanoTime() > end) {
-        throw new AssertionError(
-            "it did not come to hold: " + ask(core -> core.counters().toString()));
-      }
-      Thread.yield();
-    }
+    Await.until(() -> ask(condition), () -> ask(core -> core.counters().toString()));
   }
 
   @Override
--- a/src/test/java/rosecleat/node/NodeRuntimeTest.java
+++ b/src/test/java/rosecleat/node/NodeRuntimeTest.java
@@ -128,13 +128,7 @@
     runtime.cut();
     assertEquals("FAILED", client.answer().get(1)); // at once: nothing proves that it runs
     await(() -> count("runs.proven") == 1);
-    client.send(
-        RespClient.array(
-            "DO",
-            9,
-            "card-load",
-            RespClient.fields("00000000000000f9", "small", 900, "k"),
-            "body 1"));
+    sendFirstLoadAgain();
     assertEquals(FakeRuntime.result("body 1"), client.answer().get(3));
     assertEquals(1, runtime.startsOf("body 1"));
   }
@@ -180,13 +174,7 @@
     send("card-load", "k");
     assertEquals("FAILED", client.answer().get(1));
     runtime.nackStarts = false;
-    client.send(
-        RespClient.array(
-            "DO",
-            9,
-            "card-load",
-            RespClient.fields("00000000000000f9", "small", 900, "k"),
-            "body 1"));
+    sendFirstLoadAgain();
     assertEquals("OK", client.answer().get(1));
     assertEquals(1, runtime.startsOf("body 1"));
   }
@@ -229,4 +217,10 @@
       }
     }
   }
+
+  /** A further attempt of the first request, which was a load with the key {@code k}. */
+  private void sendFirstLoadAgain() throws IOException {
+    String fields = RespClient.fields("00000000000000f9", "small", 900, "k");
+    client.send(RespClient.array("DO", 9, "card-load", fields, "body 1"));
+  }
 }
--- a/src/test/java/rosecleat/node/StatePersistenceTest.java
+++ b/src/test/java/rosecleat/node/StatePersistenceTest.java
@@ -20,7 +20,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -32,6 +31,7 @@
 import rosecleat.config.NodeConfigReader;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
+import rosecleat.fakes.Await;
 import rosecleat.fakes.FakeRuntime;
 import rosecleat.fakes.FakeUwsgiService;
 import rosecleat.fakes.RespClient;
@@ -90,14 +90,6 @@
     return fresh;
   }
 
-  private static void await(BooleanSupplier condition) throws InterruptedException {
-    long end = System.nanoTime() + 10_000_000_000L;
-    while (!condition.getAsBoolean()) {
-      assertTrue(System.nanoTime() < end, "it did not come to hold");
-      Thread.sleep(10);
-    }
-  }
-
   private void serve(Node by, int count) throws Exception {
     try (RespClient client = new RespClient(by.port(), null)) {
       for (int i = 1; i <= count; i++) {
@@ -141,9 +133,9 @@
   /** A node that has learnt something and is gone. */
   private void before() throws Exception {
     node = start(config(), null);
-    await(() -> ask(node, Core::ready) && counter(node, "state.opened") == 1);
+    Await.until(() -> ask(node, Core::ready) && counter(node, "state.opened") == 1);
     serve(node, 12);
-    await(() -> knows("run-time") && counter(node, "state.saves") > 0);
+    Await.until(() -> knows("run-time") && counter(node, "state.saves") > 0);
     node.close();
     node = null;
   }
@@ -152,7 +144,7 @@
   void restartedNodeStartsWithStoredEstimates() throws Exception {
     before();
     node = start(config(), null);
-    await(() -> counter(node, "state.taken") >= 3);
+    Await.until(() -> counter(node, "state.taken") >= 3);
     List<Estimate> lessons = node.estimates().get(5, TimeUnit.SECONDS);
     double us =
         lessons.stream()
@@ -169,14 +161,14 @@
     String other =
         config().source().toString().replace("\"deadline-us\":1200000", "\"deadline-us\":1300000");
     node = start(NodeConfigReader.parse(other, Map.of()), null);
-    await(() -> counter(node, "state.dropped.other_terms") > 0);
+    Await.until(() -> counter(node, "state.dropped.other_terms") > 0);
     node.close();
     node =
         start(
             NodeConfigReader.parse(
                 config().source().toString().replace("\"t1\"", "\"t2\""), Map.of()),
             null);
-    await(() -> counter(node, "state.dropped.other_node") > 0);
+    Await.until(() -> counter(node, "state.dropped.other_node") > 0);
     assertEquals(0, counter(node, "state.taken"));
   }
 
@@ -201,9 +193,9 @@
             null,
             new ByteArrayOutputStream()));
     node = start(config(), null);
-    await(() -> counter(node, "state.opened") == 1);
+    Await.until(() -> counter(node, "state.opened") == 1);
     serve(node, 5);
-    await(() -> knows("run-time"));
+    Await.until(() -> knows("run-time"));
     assertEquals(
         0,
         Main.run(
@@ -218,7 +210,7 @@
     Files.createFile(
         folder.resolve("kept")); // a file where the folder should be; root may write anywhere else
     node = start(config(), null);
-    await(() -> ask(node, Core::ready));
+    Await.until(() -> ask(node, Core::ready));
     serve(node, 3);
     assertEquals(0, counter(node, "state.opened"));
   }
@@ -240,7 +232,7 @@
                 counters,
                 log));
     node.start();
-    await(() -> counter(node, "state.opened") == 1 && ask(node, Core::ready));
+    Await.until(() -> counter(node, "state.opened") == 1 && ask(node, Core::ready));
     serve(node, 12);
     assertFalse(knows("run-time"), "it is not time yet");
     CompletableFuture<Void> left = new CompletableFuture<>();
@@ -255,9 +247,9 @@
     Path shared = Files.createDirectory(folder.resolve("shared"));
     Node older = start(config(), shared);
     node = older;
-    await(() -> ask(older, Core::ready) && counter(older, "state.opened") == 1);
+    Await.until(() -> ask(older, Core::ready) && counter(older, "state.opened") == 1);
     serve(older, 12);
-    await(() -> knows("run-time"));
+    Await.until(() -> knows("run-time"));
     FakeRuntime second = new FakeRuntime(30);
     try {
       String same =
@@ -267,14 +259,14 @@
               .replace("127.0.0.1:0", "127.0.0.1:" + older.port());
       Node newer = start(NodeConfigReader.parse(same, Map.of()), shared);
       node = newer;
-      await(() -> counter(newer, "state.taken") >= 3);
+      Await.until(() -> counter(newer, "state.taken") >= 3);
       assertEquals(0, counter(newer, "state.opened"), "the older one writes");
       CompletableFuture<Void> left = new CompletableFuture<>();
       older.beginShutdown(() -> left.complete(null));
-      await(() -> counter(newer, "state.opened") == 1);
+      Await.until(() -> counter(newer, "state.opened") == 1);
       left.get(10, TimeUnit.SECONDS);
       serve(newer, 12);
-      await(() -> counter(newer, "state.saves") > 0);
+      Await.until(() -> counter(newer, "state.saves") > 0);
       assertEquals(0, counter(newer, "state.findings"));
     } finally {
       older.close();
