--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -6,9 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -20,7 +20,7 @@
 
   private static PrintWriter record;
   private static Path folder;
-  private static final List<Node> NODES = new ArrayList<>();
+  private static final List<Node> NODES = new CopyOnWriteArrayList<>();
   private static final Random RANDOM = new Random();
 
   private Rig() {}
@@ -34,6 +34,7 @@
   static void main(String recordFile, Body body) throws IOException {
     record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
     folder = Files.createTempDirectory("review");
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> NODES.forEach(Node::kill))); // if the case is ended early
     int code = 2;
     try {
       note("trouble=" + (TROUBLE ? 1 : 0));
@@ -146,7 +147,7 @@
 
     void signal(String name) throws Exception {
       note("SIG" + name + " to " + label);
-      new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+      new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
     }
 
     boolean alive() {
