--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -31,9 +31,14 @@
   }
 
   /** Runs a case, ends all its processes and exits with 0 (held), 1 (broken) or 2 (could not run). */
-  static void main(String recordFile, Body body) throws IOException {
-    record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
-    folder = Files.createTempDirectory("review");
+  static void main(String recordFile, Body body) {
+    try {
+      record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
+      folder = Files.createTempDirectory("review");
+    } catch (IOException e) {
+      System.err.println("no record or temporary folder: " + e);
+      Runtime.getRuntime().halt(2);
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(() -> NODES.forEach(Node::kill))); // if the case is ended early
     int code = 2;
     try {
