Bound what clients make a process hold by bytes, and end the process on an Error

Cause: the parser keeps up to 32 KiB of an incomplete array for each connection, and only the read buffers were sized by the heap. The OutOfMemoryError was kept in a future that nobody reads, and ended the thread of the sockets, so the process neither served nor ended.

Why this works: net.ClientMemory takes what the process itself needs from the heap and divides the rest between connections, incomplete messages, requests in flight and unread output, as sums of bytes with their objects. Whoever finds no room costs itself; clients that hold little have a part that clients that hold much can't take. Errors end the process with a line and exit code 3.

--- a/src/main/java/rosecleat/front/resp/RespConnection.java
+++ b/src/main/java/rosecleat/front/resp/RespConnection.java
@@ -15,6 +15,7 @@
 import rosecleat.net.Connection;
 import rosecleat.net.ConnectionHandler;
 import rosecleat.net.ConnectionUsage;
+import rosecleat.net.MemoryPool;
 import rosecleat.net.TextSyntax;
 
 /**
@@ -29,6 +30,10 @@
 final class RespConnection implements ConnectionHandler {
   private static final int MAX_STRING_BYTES = 4 << 10;
   private static final int MAX_IN_FLIGHT = 32;
+
+  /** Objects of a request in flight beside its body, in the frontend, the core and the policy. */
+  private static final int REQUEST_OBJECT_BYTES = 2 << 10;
+
   private static final int COMMAND_INDEX = 0;
   private static final int TAG_INDEX = 1;
   private static final int MAX_TAG_DIGITS = 18;
@@ -55,15 +60,25 @@
   /** Consecutive errors after which reading stops. */
   private static final int STOP_READING_ERRORS = 2 * MAX_CONSECUTIVE_ERRORS;
 
+  /** A request that awaits its response, and the memory that it occupies. */
+  private record InFlight(RequestHandle handle, long heapBytes) {}
+
   private final RespFrontend frontend;
   private final Connection connection;
   private final Core core;
   private final Counters counters;
   private final LongSupplier clock;
   private final Log log;
-  private final RespParser parser = new RespParser(MAX_STRING_BYTES);
+  private RespParser parser = new RespParser(MAX_STRING_BYTES);
   private final TagWindow tags = new TagWindow();
-  private final Map<Long, RequestHandle> inFlight = new HashMap<>();
+  private final Map<Long, InFlight> inFlight = new HashMap<>();
+
+  /** The memory of an incomplete message and of the tags. */
+  private final MemoryPool.Account inputMemory;
+
+  /** The memory of requests in flight. */
+  private final MemoryPool.Account requestMemory;
+
   private final long acceptedAtUs;
   private long lastActivityUs;
 
@@ -101,6 +116,9 @@
     this.counters = core.counters();
     this.clock = clock;
     this.log = log;
+    inputMemory =
+        frontend.clientMemory().incompleteInput().openAccount(this::refuseIncompleteMessage);
+    requestMemory = frontend.clientMemory().requests().openAccount();
     acceptedAtUs = clock.getAsLong();
     lastActivityUs = acceptedAtUs;
   }
@@ -158,14 +176,38 @@
         message = parser.next(bytes);
       }
       trackPartialMessage();
+      if (!inputMemory.tryHold(parser.heldBytes() + tags.heldBytes())) {
+        refuseIncompleteMessage();
+      }
     } catch (RespProtocolException e) {
       counters.add("resp.malformed");
       log.warn("connection of a balancer is closed after malformed input: " + e.getMessage());
-      readingStopped = true;
-      requestCloseAndClose();
+      stopReading();
     }
   }
 
+  /** Ends the connection of a client whose incomplete message finds no memory. */
+  private void refuseIncompleteMessage() {
+    counters.add("resp.noroom");
+    log.warn(
+        "connection of a balancer is closed: no memory for "
+            + parser.heldBytes()
+            + " bytes of an incomplete message, "
+            + frontend.clientMemory().incompleteInput().usedBytes()
+            + " of "
+            + frontend.clientMemory().incompleteInput().limitBytes()
+            + " bytes are in use");
+    stopReading();
+  }
+
+  /** Drops the rest of the input; requests read before are still answered. */
+  private void stopReading() {
+    readingStopped = true;
+    parser = new RespParser(MAX_STRING_BYTES);
+    inputMemory.releaseAll();
+    requestCloseAndClose();
+  }
+
   private void trackPartialMessage() {
     if (!parser.isMidMessage()) {
       partialMessageSinceUs = 0;
@@ -196,10 +238,12 @@
   @Override
   public void closed(Failure failure, boolean endOfStream) {
     frontend.connectionClosed(this);
-    for (RequestHandle handle : new ArrayList<>(inFlight.values())) {
-      handle.cancel();
+    for (InFlight request : new ArrayList<>(inFlight.values())) {
+      request.handle().cancel();
     }
     inFlight.clear();
+    inputMemory.releaseAll();
+    requestMemory.releaseAll();
   }
 
   private void handle(RespMessage message) {
@@ -229,6 +273,12 @@
       rejectInvalid(tag, new RequestError(RequestError.Kind.TOO_MANY_IN_FLIGHT));
       return;
     }
+    long heapBytes = REQUEST_OBJECT_BYTES + message.heapBytes();
+    if (!requestMemory.tryReserve(heapBytes)) {
+      counters.add("resp.noroom");
+      respond(tag, Response.rejected());
+      return;
+    }
     boolean[] responded = new boolean[1];
     DecodeResult decoded =
         frontend
@@ -238,6 +288,7 @@
                 response -> {
                   responded[0] = true;
                   inFlight.remove(tag);
+                  requestMemory.release(heapBytes);
                   respond(tag, response);
                 });
     if (decoded instanceof DecodeResult.Decoded valid) {
@@ -245,18 +296,20 @@
       validRequestReceived = true;
       RequestHandle handle = core.submit(valid.request());
       if (!responded[0]) {
-        inFlight.put(tag, handle);
+        inFlight.put(tag, new InFlight(handle, heapBytes));
       }
     } else if (decoded instanceof DecodeResult.Invalid invalid) {
+      requestMemory.release(heapBytes);
       rejectInvalid(tag, invalid.error());
     }
   }
 
   private void cancel(long tag) {
-    RequestHandle handle = inFlight.remove(tag);
-    if (handle != null) {
+    InFlight request = inFlight.remove(tag);
+    if (request != null) {
       counters.add("resp.undo");
-      handle.cancel();
+      requestMemory.release(request.heapBytes());
+      request.handle().cancel();
     }
   }
 
--- a/src/main/java/rosecleat/front/resp/RespFrontend.java
+++ b/src/main/java/rosecleat/front/resp/RespFrontend.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import rosecleat.core.Core;
 import rosecleat.log.Log;
+import rosecleat.net.ClientMemory;
 import rosecleat.net.Connection;
 import rosecleat.net.ConnectionLimits;
 import rosecleat.net.EventLoop;
@@ -18,12 +19,6 @@
  * limits the resources that they use. All methods must be called on the event loop.
  */
 public final class RespFrontend {
-  private static final int MIN_READ_BUFFER_BYTES = 1 << 10;
-  private static final int MAX_READ_BUFFER_BYTES = 8 << 10;
-
-  /** The read buffers of all connections together may take 1/8 of the heap. */
-  private static final int READ_BUFFERS_HEAP_DIVISOR = 8;
-
   private static final int PAUSE_READING_ABOVE_BYTES = 64 << 10;
 
   /** Holds the responses to the maximum number of requests in flight on a connection. */
@@ -36,6 +31,7 @@
   private final Core core;
   private final LongSupplier clock;
   private final Log log;
+  private final ClientMemory clientMemory;
   private final Set<RespConnection> connections = new LinkedHashSet<>();
   private Listener listener;
   private int maxConnections;
@@ -46,6 +42,7 @@
    *
    * @param address the address that {@link #listen} binds; null to accept no connections
    * @param maxConnections the most connections that may be open at a time
+   * @param clientMemory the memory that clients may occupy, shared with other frontends
    * @param catalog the classes and tenants that requests may refer to
    * @param clock returns the Unix time in microseconds
    */
@@ -53,13 +50,15 @@
       EventLoop loop,
       InetSocketAddress address,
       int maxConnections,
+      ClientMemory clientMemory,
       Core core,
       RequestCatalog catalog,
       LongSupplier clock,
       Log log) {
     this.loop = loop;
     this.address = address;
-    this.maxConnections = maxConnections;
+    this.maxConnections = Math.min(maxConnections, clientMemory.maxConnections());
+    this.clientMemory = clientMemory;
     this.core = core;
     this.clock = clock;
     this.log = log;
@@ -74,35 +73,25 @@
    */
   public void listen() throws IOException {
     if (listener == null && address != null) {
-      ConnectionLimits limits = connectionLimits(Runtime.getRuntime().maxMemory(), maxConnections);
+      ConnectionLimits limits =
+          new ConnectionLimits(
+              clientMemory.readBufferBytes(),
+              PAUSE_READING_ABOVE_BYTES,
+              WRITE_QUEUE_BYTES,
+              WRITE_STALL_TIMEOUT_US,
+              clientMemory.output());
       listener = new Listener(loop, address, maxConnections, limits, this::accept, true);
     }
   }
 
   /**
-   * Returns the limits of each connection. The size of the read buffers decreases with the number
-   * of connections, since the buffers of a node with many file descriptors could otherwise fill a
-   * small heap.
-   */
-  static ConnectionLimits connectionLimits(long heapBytes, int maxConnections) {
-    long perConnection = heapBytes / READ_BUFFERS_HEAP_DIVISOR / Math.max(1, maxConnections);
-    long readBufferBytes =
-        Math.max(MIN_READ_BUFFER_BYTES, Math.min(MAX_READ_BUFFER_BYTES, perConnection));
-    return new ConnectionLimits(
-        (int) readBufferBytes,
-        PAUSE_READING_ABOVE_BYTES,
-        WRITE_QUEUE_BYTES,
-        WRITE_STALL_TIMEOUT_US);
-  }
-
-  /**
-   * Sets the most connections that may be open at a time. Connections in use beyond a lower maximum
-   * stay open.
+   * Sets the most connections that may be open at a time, of which memory may allow fewer.
+   * Connections in use beyond a lower maximum stay open.
    */
   public void setMaxConnections(int newMaxConnections) {
-    maxConnections = newMaxConnections;
+    maxConnections = Math.min(newMaxConnections, clientMemory.maxConnections());
     if (listener != null) {
-      listener.setMaxConnections(newMaxConnections);
+      listener.setMaxConnections(maxConnections);
     }
   }
 
@@ -172,6 +161,10 @@
     connection.start(accepted);
   }
 
+  ClientMemory clientMemory() {
+    return clientMemory;
+  }
+
   /** Returns the current decoder, which a reload replaces. */
   RequestDecoder decoder() {
     return decoder;
--- a/src/main/java/rosecleat/front/resp/RespMessage.java
+++ b/src/main/java/rosecleat/front/resp/RespMessage.java
@@ -9,11 +9,26 @@
  * bytes are skipped; the other strings can still be used.
  */
 final class RespMessage {
+  /** Objects of one string beside its bytes. */
+  private static final int STRING_OBJECT_BYTES = 24;
+
   private final List<byte[]> strings = new ArrayList<>();
+  private int heapBytes;
 
   /** Appends a string, or null for one that exceeds the limit. */
   void append(byte[] string) {
     strings.add(string);
+    heapBytes += heapBytes(string);
+  }
+
+  /** Returns the heap that a string occupies, or null for one that exceeds the limit. */
+  static int heapBytes(byte[] string) {
+    return STRING_OBJECT_BYTES + (string == null ? 0 : string.length);
+  }
+
+  /** Returns the heap that the strings occupy. */
+  int heapBytes() {
+    return heapBytes;
   }
 
   /** Returns the number of strings, including absent ones. */
--- a/src/main/java/rosecleat/front/resp/RespParser.java
+++ b/src/main/java/rosecleat/front/resp/RespParser.java
@@ -21,6 +21,9 @@
   private static final int MAX_HEADER_CHARS = 24;
   private static final int MAX_LENGTH_DIGITS = 9;
 
+  /** Objects of a message beside its strings. */
+  private static final int MESSAGE_OBJECT_BYTES = 128;
+
   /** Returned in place of a length if the header is incomplete. */
   private static final long INCOMPLETE = -1;
 
@@ -51,6 +54,17 @@
     return state != State.ARRAY_HEADER || header.length() > 0;
   }
 
+  /** Returns the heap that the received part of a message occupies; 0 between two messages. */
+  int heldBytes() {
+    if (state == State.ARRAY_HEADER) {
+      return 0;
+    }
+    boolean inString = state != State.STRING_HEADER;
+    return MESSAGE_OBJECT_BYTES
+        + message.heapBytes()
+        + (inString ? RespMessage.heapBytes(string) : 0);
+  }
+
   /**
    * Parses the next message.
    *
@@ -65,7 +79,7 @@
         case STRING_BYTES -> readString(input);
         case STRING_END -> {
           if (readTerminator(input) && endString()) {
-            return Optional.of(message);
+            return takeMessage();
           }
         }
         default -> throw new AssertionError(state);
@@ -74,6 +88,13 @@
     return Optional.empty();
   }
 
+  /** Returns the complete message and keeps no reference to it. */
+  private Optional<RespMessage> takeMessage() {
+    Optional<RespMessage> complete = Optional.of(message);
+    message = null;
+    return complete;
+  }
+
   private void parseArrayHeader(ByteBuffer input) throws RespProtocolException {
     long length = parseLength(input, ARRAY_TYPE, MAX_ARRAY_LENGTH);
     if (length == INCOMPLETE) {
@@ -166,6 +187,7 @@
   /** Appends the string to the message; returns true if it was the last one. */
   private boolean endString() {
     message.append(string);
+    string = null;
     remainingStrings--;
     state = remainingStrings == 0 ? State.ARRAY_HEADER : State.STRING_HEADER;
     return remainingStrings == 0;
--- a/src/main/java/rosecleat/front/resp/TagWindow.java
+++ b/src/main/java/rosecleat/front/resp/TagWindow.java
@@ -1,6 +1,6 @@
 package rosecleat.front.resp;
 
-import java.util.TreeSet;
+import java.util.Arrays;
 
 /**
  * The set of tags that requests on one connection have used, in bounded memory: every tag up to a
@@ -12,20 +12,54 @@
    */
   private static final int MAX_TAGS_ABOVE_FLOOR = 256;
 
-  private final TreeSet<Long> usedAboveFloor = new TreeSet<>();
+  private static final long[] NO_TAGS = new long[0];
+  private static final int INITIAL_CAPACITY = 8;
+
+  /** The used tags above the floor in ascending order, followed by unused elements. */
+  private long[] tags = NO_TAGS;
+
+  private int count;
   private long floor;
 
   /** Marks a tag as used; returns false if it was used before or is not above the floor. */
   boolean markUsed(long tag) {
-    if (tag <= floor || !usedAboveFloor.add(tag)) {
+    if (tag <= floor) {
+      return false;
+    }
+    int found = Arrays.binarySearch(tags, 0, count, tag);
+    if (found >= 0) {
       return false;
     }
-    while (!usedAboveFloor.isEmpty() && usedAboveFloor.first() == floor + 1) {
-      floor = usedAboveFloor.pollFirst();
+    insert(-1 - found, tag);
+    int removed = 0;
+    while (removed < count && tags[removed] == floor + 1) {
+      floor++;
+      removed++;
     }
-    if (usedAboveFloor.size() > MAX_TAGS_ABOVE_FLOOR) {
-      floor = usedAboveFloor.pollFirst();
+    removeLowest(removed);
+    if (count > MAX_TAGS_ABOVE_FLOOR) {
+      floor = tags[0];
+      removeLowest(1);
     }
     return true;
   }
+
+  /** Returns the heap that the stored tags occupy. */
+  int heldBytes() {
+    return Long.BYTES * tags.length;
+  }
+
+  private void insert(int index, long tag) {
+    if (count == tags.length) {
+      tags = Arrays.copyOf(tags, Math.max(INITIAL_CAPACITY, 2 * count));
+    }
+    System.arraycopy(tags, index, tags, index + 1, count - index);
+    tags[index] = tag;
+    count++;
+  }
+
+  private void removeLowest(int number) {
+    System.arraycopy(tags, number, tags, 0, count - number);
+    count -= number;
+  }
 }
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -63,7 +63,7 @@
   private final AsynchronousSocketChannel channel;
   private final ConnectionLimits limits;
   private final ByteBuffer input;
-  private final WriteQueue writeQueue = new WriteQueue();
+  private final WriteQueue writeQueue;
 
   /** Null until {@link #start}. */
   private ConnectionHandler handler;
@@ -87,6 +87,7 @@
     this.channel = channel;
     this.limits = limits;
     input = ByteBuffer.allocate(limits.readBufferBytes());
+    writeQueue = new WriteQueue(this, limits.output());
     try {
       channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException | UnsupportedOperationException e) {
@@ -158,12 +159,11 @@
     if (isClosed()) {
       return false;
     }
-    int queuedBytes = writeQueue.queuedBytes();
-    if (queuedBytes + bytes.remaining() > limits.maxQueuedBytes()) {
-      close(
-          new Failure(
-              Progress.NOT_SENT, FailureReason.WRITE_QUEUE_FULL, queuedBytes + " bytes wait"),
-          false);
+    if (writeQueue.queuedBytes() + bytes.remaining() > limits.maxQueuedBytes()
+        || !limits.output().makeRoom(bytes.remaining())) {
+      closeForUnreadOutput();
+    }
+    if (isClosed()) { // also where this connection was closed to make room
       return false;
     }
     writeQueue.add(bytes);
@@ -215,6 +215,21 @@
     lingerTimeout = loop.schedule(LINGER_US, this::closeLocally);
   }
 
+  /** Returns since when the peer has accepted no byte although some are queued. */
+  long lastWriteProgressNs() {
+    return writeQueue.lastProgressNs();
+  }
+
+  /** Closes the connection because its peer does not read its output. */
+  void closeForUnreadOutput() {
+    close(
+        new Failure(
+            Progress.NOT_SENT,
+            FailureReason.WRITE_QUEUE_FULL,
+            writeQueue.queuedBytes() + " bytes wait"),
+        false);
+  }
+
   private void closeLocally() {
     close(new Failure(Progress.SENT, FailureReason.CLOSED_LOCALLY), false);
   }
@@ -277,14 +292,18 @@
     shutdownOutputWhenDrained();
   }
 
-  /** Passes the input to the handler; an exception in the handler closes only this connection. */
+  /**
+   * Passes the input to the handler. An exception in the handler closes only this connection, as
+   * does an error that concerns this input alone; other errors, such as lack of memory, are not
+   * caught.
+   */
   private void dispatchInput() {
     try {
       handler.received(input);
-    } catch (RuntimeException e) {
-      StackTraceElement[] trace = e.getStackTrace();
-      String location = trace.length == 0 ? "" : " at " + trace[0];
-      close(new Failure(Progress.SENT, FailureReason.HANDLER_FAILED, e + location), false);
+    } catch (RuntimeException | StackOverflowError | AssertionError e) {
+      String description = EventLoop.describe(e);
+      loop.log().warn("connection is closed, since its input could not be handled: " + description);
+      close(new Failure(Progress.SENT, FailureReason.HANDLER_FAILED, description), false);
     }
   }
 
--- a/src/main/java/rosecleat/net/ConnectionLimits.java
+++ b/src/main/java/rosecleat/net/ConnectionLimits.java
@@ -10,10 +10,26 @@
  *     the connection
  * @param writeTimeoutUs how long the peer may accept no byte while bytes are queued, in
  *     microseconds
+ * @param output the memory for unread output that this connection shares with others
  */
 public record ConnectionLimits(
-    int readBufferBytes, int pauseReadAboveBytes, int maxQueuedBytes, long writeTimeoutUs) {
+    int readBufferBytes,
+    int pauseReadAboveBytes,
+    int maxQueuedBytes,
+    long writeTimeoutUs,
+    OutputMemory output) {
   /** Limits for protocols with small messages. */
   public static final ConnectionLimits SMALL =
       new ConnectionLimits(8 << 10, 64 << 10, 1 << 20, 5_000_000);
+
+  /** Creates limits of a connection that shares no memory with others, such as one to a backend. */
+  public ConnectionLimits(
+      int readBufferBytes, int pauseReadAboveBytes, int maxQueuedBytes, long writeTimeoutUs) {
+    this(
+        readBufferBytes,
+        pauseReadAboveBytes,
+        maxQueuedBytes,
+        writeTimeoutUs,
+        new OutputMemory(Long.MAX_VALUE));
+  }
 }
--- a/src/main/java/rosecleat/net/EventLoop.java
+++ b/src/main/java/rosecleat/net/EventLoop.java
@@ -72,17 +72,27 @@
     }
   }
 
-  /** Runs a task and logs a runtime exception that it throws, so that the loop goes on. */
+  /**
+   * Runs a task and logs a runtime exception that it throws, so that the loop goes on. An error is
+   * passed to the handler of uncaught exceptions, since the executor would discard it.
+   */
   private void runGuarded(Runnable task) {
     try {
       task.run();
     } catch (RuntimeException e) {
-      StackTraceElement[] trace = e.getStackTrace();
-      log.warn(
-          "task on the event loop failed: " + e + (trace.length == 0 ? "" : " at " + trace[0]));
+      log.warn("task on the event loop failed: " + describe(e));
+    } catch (Error e) {
+      Thread thread = Thread.currentThread();
+      thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
     }
   }
 
+  /** Returns what was thrown, and where. */
+  static String describe(Throwable thrown) {
+    StackTraceElement[] trace = thrown.getStackTrace();
+    return thrown + (trace.length == 0 ? "" : " at " + trace[0]);
+  }
+
   /**
    * Closes the loop and waits until the I/O thread has returned from the system call that waits for
    * socket events. Otherwise the exit of the JVM would wait up to 0.3 s for a thread in such a
--- a/src/main/java/rosecleat/net/WriteQueue.java
+++ b/src/main/java/rosecleat/net/WriteQueue.java
@@ -12,14 +12,34 @@
   private static final int MAX_CHUNK_BYTES = 16 << 10;
 
   private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
+  private final Connection owner;
+  private final OutputMemory memory;
   private int queuedBytes;
   private long writtenBytes;
 
+  /** When bytes were last written, or when the queue was last empty. */
+  private long lastProgressNs;
+
+  /** Creates an empty queue whose bytes count as unread output of its owner. */
+  WriteQueue(Connection owner, OutputMemory memory) {
+    this.owner = owner;
+    this.memory = memory;
+  }
+
   void add(ByteBuffer bytes) {
+    if (buffers.isEmpty()) {
+      lastProgressNs = System.nanoTime();
+    }
     queuedBytes += bytes.remaining();
+    memory.added(owner, bytes.remaining());
     buffers.add(bytes);
   }
 
+  /** Returns since when no byte has been written although some are queued. */
+  long lastProgressNs() {
+    return lastProgressNs;
+  }
+
   boolean isEmpty() {
     return buffers.isEmpty();
   }
@@ -43,7 +63,9 @@
 
   /** Removes {@code count} written bytes from the first buffer. */
   void written(int count) {
+    lastProgressNs = System.nanoTime();
     queuedBytes -= count;
+    memory.removed(owner, count, queuedBytes == 0);
     writtenBytes += count;
     ByteBuffer first = buffers.element();
     first.position(first.position() + count);
@@ -55,6 +77,7 @@
   /** Discards all unwritten bytes. */
   void clear() {
     buffers.clear();
+    memory.removed(owner, queuedBytes, true);
     queuedBytes = 0;
   }
 }
--- a/src/main/java/rosecleat/node/NodeParts.java
+++ b/src/main/java/rosecleat/node/NodeParts.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import rosecleat.config.BrokerConfig;
 import rosecleat.config.NodeConfig;
 import rosecleat.core.Core;
 import rosecleat.core.Counters;
@@ -10,6 +11,7 @@
 import rosecleat.front.resp.RespFrontend;
 import rosecleat.index.IndexClient;
 import rosecleat.log.Log;
+import rosecleat.net.ClientMemory;
 import rosecleat.net.EventLoop;
 import rosecleat.net.MonotonicClock;
 import rosecleat.policy.PolicyEngine;
@@ -43,6 +45,7 @@
   final Optional<RuntimeClient> runtime;
   final Runner runner;
   final RegistryClient registry;
+  final ClientMemory clientMemory;
   final Frontends frontends;
 
   NodeParts(ProcessConfig config, NodeEnvironment environment) throws IOException {
@@ -64,6 +67,7 @@
     runtime = createRuntime(node);
     runner = runtime.isPresent() ? runtime.get() : new UnavailableRunner(loop, core);
     registry = new RegistryClient(loop, node.registryAddress(), node.name(), counters, log);
+    clientMemory = new ClientMemory(Runtime.getRuntime().maxMemory(), maxClientConnections(config));
     frontends = createFrontends(config);
   }
 
@@ -78,12 +82,20 @@
         : Optional.of(new RuntimeClient(loop, node.runtimeAddress(), core, clock, log));
   }
 
+  /** Returns the most connections of clients for which there are descriptors, at least 1. */
+  private static int maxClientConnections(ProcessConfig config) {
+    int uwsgi = config.broker().map(BrokerConfig::maxConnections).orElse(0);
+    boolean hasBalancers = config.node().listenAddress() != null;
+    return Math.max(1, hasBalancers ? config.node().maxSockets() : uwsgi);
+  }
+
   private Frontends createFrontends(ProcessConfig config) throws IOException {
     RespFrontend resp =
         new RespFrontend(
             loop,
             config.node().listenAddress(),
             INITIAL_MAX_CONNECTIONS,
+            clientMemory,
             core,
             settings.requestCatalog(runner),
             clock,
--- a/src/main/java/rosecleat/node/NodeProcess.java
+++ b/src/main/java/rosecleat/node/NodeProcess.java
@@ -78,6 +78,7 @@
       Optional<Path> sharedFolder,
       int counterLogPeriodS)
       throws IOException {
+    FatalErrorHandler.install();
     Log log = new Log(System.err);
     NodeProcess process = new NodeProcess(log);
     // The shutdown hook and the reloader are installed before the node listens. Without the hook, a
--- a/src/test/java/rosecleat/front/resp/FrontendHarness.java
+++ b/src/test/java/rosecleat/front/resp/FrontendHarness.java
@@ -13,6 +13,7 @@
 import rosecleat.core.Runner;
 import rosecleat.fakes.TestCore;
 import rosecleat.log.Log;
+import rosecleat.net.ClientMemory;
 import rosecleat.net.EventLoop;
 
 /** A listening RESP frontend with a core and an event loop, for tests over real sockets. */
@@ -44,6 +45,7 @@
             loop,
             new InetSocketAddress("127.0.0.1", 0),
             MAX_CONNECTIONS,
+            new ClientMemory(Runtime.getRuntime().maxMemory(), MAX_CONNECTIONS),
             core,
             new RequestCatalog(classes, tenants, runner.apply(loop, core)),
             clock,
--- a/src/test/java/rosecleat/front/resp/ReadBufferSizeTest.java
+++ b/src/test/java/rosecleat/front/resp/ReadBufferSizeTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import rosecleat.net.ClientMemory;
 
 /** The size of read buffers, given the size of the heap in MiB and the number of connections. */
 class ReadBufferSizeTest {
@@ -25,6 +26,6 @@
   }
 
   private static int readBufferBytes(long heapMib, int maxConnections) {
-    return RespFrontend.connectionLimits(heapMib << 20, maxConnections).readBufferBytes();
+    return new ClientMemory(heapMib << 20, maxConnections).readBufferBytes();
   }
 }
