Count uwsgi requests, parsed vars and unread answers in the memory of clients

What callers saw: with hundreds of clients that stopped half way through a body, sent very many short vars or read none of their answers, balancers and web servers got no answers any more.

Cause: bodies, vars and unread answers were bounded for each connection and not as a sum; a var of 6 bytes takes some 130 as strings in a map, which was copied again for the backend.

Why this works: both frontends draw on one ClientMemory. Vars stay encoded. Input of a connection waits while its unread output is large for what is left, in turns of eight messages, and output that finds no room ends the connections that have held most for longest. Requests without room get 503.

--- a/src/main/java/rosecleat/front/resp/RespConnection.java
+++ b/src/main/java/rosecleat/front/resp/RespConnection.java
@@ -1,9 +1,6 @@
 package rosecleat.front.resp;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import rosecleat.core.Core;
@@ -31,8 +28,8 @@
   private static final int MAX_STRING_BYTES = 4 << 10;
   private static final int MAX_IN_FLIGHT = 32;
 
-  /** Objects of a request in flight beside its body, in the frontend, the core and the policy. */
-  private static final int REQUEST_OBJECT_BYTES = 2 << 10;
+  /** Most messages that are handled before other connections get their turn. */
+  private static final int MAX_MESSAGES_PER_TURN = 8;
 
   private static final int COMMAND_INDEX = 0;
   private static final int TAG_INDEX = 1;
@@ -60,9 +57,6 @@
   /** Consecutive errors after which reading stops. */
   private static final int STOP_READING_ERRORS = 2 * MAX_CONSECUTIVE_ERRORS;
 
-  /** A request that awaits its response, and the memory that it occupies. */
-  private record InFlight(RequestHandle handle, long heapBytes) {}
-
   private final RespFrontend frontend;
   private final Connection connection;
   private final Core core;
@@ -71,14 +65,11 @@
   private final Log log;
   private RespParser parser = new RespParser(MAX_STRING_BYTES);
   private final TagWindow tags = new TagWindow();
-  private final Map<Long, InFlight> inFlight = new HashMap<>();
+  private final RequestsInFlight inFlight;
 
   /** The memory of an incomplete message and of the tags. */
   private final MemoryPool.Account inputMemory;
 
-  /** The memory of requests in flight. */
-  private final MemoryPool.Account requestMemory;
-
   private final long acceptedAtUs;
   private long lastActivityUs;
 
@@ -88,6 +79,9 @@
   /** Time at which the client was asked to close the connection; 0 if it was not. */
   private long closeRequestedAtUs;
 
+  /** Set if the last turn ended before its input did. */
+  private boolean turnEnded;
+
   private int consecutiveErrors;
   private boolean messageReceived;
   private boolean validRequestReceived;
@@ -118,7 +112,7 @@
     this.log = log;
     inputMemory =
         frontend.clientMemory().incompleteInput().openAccount(this::refuseIncompleteMessage);
-    requestMemory = frontend.clientMemory().requests().openAccount();
+    inFlight = new RequestsInFlight(frontend.clientMemory().requests().openAccount());
     acceptedAtUs = clock.getAsLong();
     lastActivityUs = acceptedAtUs;
   }
@@ -163,18 +157,33 @@
 
   @Override
   public void received(ByteBuffer bytes) {
-    if (readingStopped) {
-      return;
+    turnEnded = false;
+    if (!readingStopped) {
+      lastActivityUs = clock.getAsLong();
+      handleMessages(bytes);
     }
-    lastActivityUs = clock.getAsLong();
+  }
+
+  @Override
+  public boolean leftInput() {
+    return turnEnded && !readingStopped;
+  }
+
+  /** Handles messages until the input or this connection's turn ends. */
+  private void handleMessages(ByteBuffer bytes) {
     try {
-      Optional<RespMessage> message = parser.next(bytes);
-      while (message.isPresent() && !readingStopped && !connection.isClosed()) {
+      int handled = 0;
+      while (handled < MAX_MESSAGES_PER_TURN && !readingStopped && !connection.isClosed()) {
+        Optional<RespMessage> message = parser.next(bytes);
+        if (message.isEmpty()) {
+          break;
+        }
         messageReceived = true;
         partialMessageSinceUs = 0;
         handle(message.get());
-        message = parser.next(bytes);
+        handled++;
       }
+      turnEnded = handled == MAX_MESSAGES_PER_TURN;
       trackPartialMessage();
       if (!inputMemory.tryHold(parser.heldBytes() + tags.heldBytes())) {
         refuseIncompleteMessage();
@@ -238,12 +247,8 @@
   @Override
   public void closed(Failure failure, boolean endOfStream) {
     frontend.connectionClosed(this);
-    for (InFlight request : new ArrayList<>(inFlight.values())) {
-      request.handle().cancel();
-    }
-    inFlight.clear();
+    inFlight.cancelAll();
     inputMemory.releaseAll();
-    requestMemory.releaseAll();
   }
 
   private void handle(RespMessage message) {
@@ -273,8 +278,7 @@
       rejectInvalid(tag, new RequestError(RequestError.Kind.TOO_MANY_IN_FLIGHT));
       return;
     }
-    long heapBytes = REQUEST_OBJECT_BYTES + message.heapBytes();
-    if (!requestMemory.tryReserve(heapBytes)) {
+    if (!inFlight.tryReserve(message)) {
       counters.add("resp.noroom");
       respond(tag, Response.rejected());
       return;
@@ -288,28 +292,28 @@
                 response -> {
                   responded[0] = true;
                   inFlight.remove(tag);
-                  requestMemory.release(heapBytes);
                   respond(tag, response);
                 });
     if (decoded instanceof DecodeResult.Decoded valid) {
       consecutiveErrors = 0;
       validRequestReceived = true;
       RequestHandle handle = core.submit(valid.request());
-      if (!responded[0]) {
-        inFlight.put(tag, new InFlight(handle, heapBytes));
+      if (responded[0]) {
+        inFlight.release(message);
+      } else {
+        inFlight.add(tag, handle, message);
       }
     } else if (decoded instanceof DecodeResult.Invalid invalid) {
-      requestMemory.release(heapBytes);
+      inFlight.release(message);
       rejectInvalid(tag, invalid.error());
     }
   }
 
   private void cancel(long tag) {
-    InFlight request = inFlight.remove(tag);
-    if (request != null) {
+    Optional<RequestHandle> handle = inFlight.remove(tag);
+    if (handle.isPresent()) {
       counters.add("resp.undo");
-      requestMemory.release(request.heapBytes());
-      request.handle().cancel();
+      handle.get().cancel();
     }
   }
 
--- a/src/main/java/rosecleat/front/resp/RespFrontend.java
+++ b/src/main/java/rosecleat/front/resp/RespFrontend.java
@@ -57,7 +57,7 @@
       Log log) {
     this.loop = loop;
     this.address = address;
-    this.maxConnections = Math.min(maxConnections, clientMemory.maxConnections());
+    this.maxConnections = maxConnections;
     this.clientMemory = clientMemory;
     this.core = core;
     this.clock = clock;
@@ -85,11 +85,11 @@
   }
 
   /**
-   * Sets the most connections that may be open at a time, of which memory may allow fewer.
-   * Connections in use beyond a lower maximum stay open.
+   * Sets the most connections that may be open at a time. Connections in use beyond a lower maximum
+   * stay open.
    */
   public void setMaxConnections(int newMaxConnections) {
-    maxConnections = Math.min(newMaxConnections, clientMemory.maxConnections());
+    maxConnections = newMaxConnections;
     if (listener != null) {
       listener.setMaxConnections(maxConnections);
     }
--- a/src/main/java/rosecleat/front/uwsgi/FailureResponses.java
+++ b/src/main/java/rosecleat/front/uwsgi/FailureResponses.java
@@ -42,6 +42,11 @@
     return text(BAD_GATEWAY, Progress.RAN, "no room for the reply");
   }
 
+  /** Returns the response to a request for which clients' memory has no room. */
+  static HttpResponse noMemory() {
+    return unavailable(1, "no room for the request");
+  }
+
   /** Returns the response to a request that failed. */
   static HttpResponse failed(Response.Failed failed) {
     return text(status(failed.cause()), failed.failure().progress(), failed.failure().message());
--- a/src/main/java/rosecleat/front/uwsgi/RequestTranslator.java
+++ b/src/main/java/rosecleat/front/uwsgi/RequestTranslator.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.regex.Pattern;
 import rosecleat.config.Backend;
@@ -223,20 +224,20 @@
   /** Returns the vars to be passed on to the service, and the attributes for its runner. */
   private static Map<String, String> attributes(
       UwsgiPacket packet, ServiceOperation operation, long nowUs) {
-    Map<String, String> attributes = new HashMap<>(packet.vars());
-    attributes.remove("CONTENT_LENGTH"); // the runner sets it to the length of the body
-    attributes.put("REQUEST_METHOD", operation.method()); // a HEAD request executes the GET
-    attributes.put(RunAttributes.OPERATION, operation.id());
+    Map<String, String> replacements = new HashMap<>();
+    replacements.put("REQUEST_METHOD", operation.method()); // a HEAD request executes the GET
+    replacements.put(RunAttributes.OPERATION, operation.id());
     if (operation.backend() instanceof Backend.Uwsgi uwsgi) {
-      attributes.put(
+      replacements.put(
           RunAttributes.BACKEND_ADDRESS,
           uwsgi.address().getHostString() + ":" + uwsgi.address().getPort());
     } else if (operation.backend() instanceof Backend.Fleet fleet) {
-      attributes.put(RunAttributes.SERVICE, fleet.service());
-      attributes.put(
+      replacements.put(RunAttributes.SERVICE, fleet.service());
+      replacements.put(
           RunAttributes.KEY_EXPIRES_AT, Long.toString(nowUs + operation.idempotencyWindowUs()));
     }
-    return attributes;
+    // the runner sets the length to that of the body
+    return new RequestAttributes(packet.vars(), replacements, Set.of("CONTENT_LENGTH"));
   }
 
   private long callerId(String team) {
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiConnection.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiConnection.java
@@ -12,9 +12,11 @@
 import rosecleat.core.Progress;
 import rosecleat.core.RequestHandle;
 import rosecleat.core.Response;
+import rosecleat.net.ClientMemory;
 import rosecleat.net.Connection;
 import rosecleat.net.ConnectionHandler;
 import rosecleat.net.ConnectionUsage;
+import rosecleat.net.MemoryPool;
 
 /**
  * Handles one client's connection: reads the only request, submits it to the core and writes the
@@ -25,6 +27,10 @@
   private static final String PLAIN_TEXT = "text/plain; charset=utf-8";
   private static final int OK = 200;
   private static final int NO_CONTENT = 204;
+
+  /** Objects of a request in flight beside its vars and body. */
+  private static final int REQUEST_OBJECT_BYTES = 3 << 10;
+
   private static final byte[] EMPTY_BODY = new byte[0];
 
   /**
@@ -36,9 +42,17 @@
   private final UwsgiFrontend frontend;
   private final Connection connection;
   private final Counters counters;
-  private final UwsgiRequestParser parser;
   private final long acceptedAtUs;
 
+  /** The memory of an incomplete request. */
+  private final MemoryPool.Account inputMemory;
+
+  /** The memory of a request in flight. */
+  private final MemoryPool.Account requestMemory;
+
+  /** The parser of the request; null once the request is complete or refused. */
+  private UwsgiRequestParser parser;
+
   /** The timeout for reading the request; after the response, the timeout for writing it. */
   private Future<?> timeout;
 
@@ -61,6 +75,9 @@
     UwsgiLimits limits = frontend.limits();
     parser = new UwsgiRequestParser(limits.packetBytes(), limits.bodyBytes());
     acceptedAtUs = frontend.clock().getAsLong();
+    ClientMemory memory = frontend.clientMemory();
+    inputMemory = memory.incompleteInput().openAccount(this::refuseForMemory);
+    requestMemory = memory.requests().openAccount();
   }
 
   /** Starts to read the request, and schedules the read timeout. */
@@ -76,7 +93,7 @@
 
   /** Closes the connection if it was accepted by the given time and nothing has been received. */
   void closeIfSilentSince(long acceptedBeforeUs) {
-    if (!parser.hasInput() && acceptedAtUs <= acceptedBeforeUs) {
+    if (!hasInput() && acceptedAtUs <= acceptedBeforeUs) {
       connection.closeGracefully();
     }
   }
@@ -88,24 +105,53 @@
     }
   }
 
+  private boolean hasInput() {
+    return requestComplete || parser.hasInput();
+  }
+
   /** Reads the first request and ignores all bytes after it. */
   @Override
   public void received(ByteBuffer bytes) {
-    if (requestComplete || !parser.feed(bytes)) {
+    if (requestComplete) {
       return;
     }
+    if (parser.feed(bytes)) {
+      UwsgiRequestParser complete = endInput();
+      handle(complete);
+    } else if (!inputMemory.tryHold(parser.heldBytes())) {
+      refuseForMemory();
+    }
+  }
+
+  /** Ends the reading of the request; returns its parser, to which no reference is kept. */
+  private UwsgiRequestParser endInput() {
+    UwsgiRequestParser ended = parser;
+    parser = null;
     requestComplete = true;
     timeout.cancel(false);
-    Optional<RequestError> error = parser.error();
+    inputMemory.releaseAll();
+    return ended;
+  }
+
+  /** Refuses a request for which the memory of clients has no room. */
+  private void refuseForMemory() {
+    if (!requestComplete) {
+      endInput();
+    }
+    counters.add("uwsgi.noroom");
+    respond(FailureResponses.noMemory(), PLAIN_TEXT);
+  }
+
+  private void handle(UwsgiRequestParser complete) {
+    Optional<RequestError> error = complete.error();
     if (error.isPresent()) {
       respond(error.get().response(), PLAIN_TEXT);
-      return;
-    }
-    UwsgiPacket packet = parser.packet();
-    if (packet.modifier1() == UwsgiPacket.MODIFIER_PING) {
+    } else if (complete.packet().modifier1() == UwsgiPacket.MODIFIER_PING) {
       respondToPing();
+    } else if (requestMemory.tryReserve(REQUEST_OBJECT_BYTES + complete.requestBytes())) {
+      handle(complete.packet());
     } else {
-      handle(packet);
+      refuseForMemory();
     }
   }
 
@@ -144,7 +190,7 @@
   /** Returns {@code UNUSED} only while nothing has been received. */
   @Override
   public ConnectionUsage usage() {
-    return parser.hasInput() || requestComplete ? ConnectionUsage.BUSY : ConnectionUsage.UNUSED;
+    return hasInput() ? ConnectionUsage.BUSY : ConnectionUsage.UNUSED;
   }
 
   @Override
@@ -155,6 +201,8 @@
   @Override
   public void closed(Failure failure, boolean endOfStream) {
     timeout.cancel(false);
+    inputMemory.releaseAll();
+    requestMemory.releaseAll();
     frontend.responseBudget().release(reservedBytes);
     frontend.connectionClosed(this, connection);
     if (failure.progress() != Progress.SENT) { // part of the response may not have been sent
@@ -227,6 +275,7 @@
   private boolean reserve(int bytes) {
     UwsgiLimits limits = frontend.limits();
     if (bytes > limits.responseBytes()
+        || bytes + UwsgiFrontend.MAX_HEAD_BYTES > frontend.clientMemory().output().limitBytes()
         || !frontend.responseBudget().tryReserve(bytes, limits.bufferedResponseBytes())) {
       return false;
     }
@@ -240,6 +289,7 @@
 
   private void write(int status, ByteBuffer head, byte[] body) {
     responded = true;
+    requestMemory.releaseAll();
     counters.add("uwsgi.status." + status);
     if (connection.write(head) && body.length > 0 && !omitBody) {
       connection.write(ByteBuffer.wrap(body));
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFrontend.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFrontend.java
@@ -10,6 +10,7 @@
 import rosecleat.core.Core;
 import rosecleat.core.Runner;
 import rosecleat.log.Log;
+import rosecleat.net.ClientMemory;
 import rosecleat.net.Connection;
 import rosecleat.net.ConnectionLimits;
 import rosecleat.net.EventLoop;
@@ -20,11 +21,10 @@
  * methods must be called on the event loop.
  */
 public final class UwsgiFrontend {
-  private static final int READ_BUFFER_BYTES = 8 << 10;
   private static final int PAUSE_READING_ABOVE_BYTES = 64 << 10;
 
   /** The write queue's capacity for the head of a response, in addition to the body. */
-  private static final int MAX_HEAD_BYTES = 20 << 10;
+  static final int MAX_HEAD_BYTES = 20 << 10;
 
   private final EventLoop loop;
   private final Core core;
@@ -32,6 +32,8 @@
   private final Log log;
   private final RequestTranslator translator;
   private final InstanceBalancer instances;
+  private final int maxConnections;
+  private final ClientMemory clientMemory;
   private final ResponseBudget responseBudget = new ResponseBudget();
   private final Set<UwsgiConnection> connections = new LinkedHashSet<>();
   private BrokerConfig config;
@@ -41,6 +43,8 @@
    * Creates a frontend that does not listen yet.
    *
    * @param config the address, the limits and the operations
+   * @param maxConnections the most connections that may be open at a time
+   * @param clientMemory the memory that clients may occupy, shared with other frontends
    * @param runtime executes requests of operations without a backend
    * @param backends executes requests of operations that a uwsgi service implements
    * @param instances the instances of services without a fixed address
@@ -50,6 +54,8 @@
   public UwsgiFrontend(
       EventLoop loop,
       BrokerConfig config,
+      int maxConnections,
+      ClientMemory clientMemory,
       Core core,
       Runner runtime,
       Runner backends,
@@ -59,6 +65,8 @@
       long seed) {
     this.loop = loop;
     this.config = config;
+    this.maxConnections = maxConnections;
+    this.clientMemory = clientMemory;
     this.core = core;
     this.instances = instances;
     this.clock = clock;
@@ -80,18 +88,14 @@
     UwsgiLimits limits = config.limits();
     ConnectionLimits connectionLimits =
         new ConnectionLimits(
-            READ_BUFFER_BYTES,
+            clientMemory.readBufferBytes(),
             PAUSE_READING_ABOVE_BYTES,
             limits.responseBytes() + MAX_HEAD_BYTES,
-            limits.stallTimeoutUs());
+            limits.stallTimeoutUs(),
+            clientMemory.output());
     listener =
         new Listener(
-            loop,
-            config.listenAddress(),
-            config.maxConnections(),
-            connectionLimits,
-            this::accept,
-            true);
+            loop, config.listenAddress(), maxConnections, connectionLimits, this::accept, true);
   }
 
   /**
@@ -197,6 +201,10 @@
     return instances;
   }
 
+  ClientMemory clientMemory() {
+    return clientMemory;
+  }
+
   ResponseBudget responseBudget() {
     return responseBudget;
   }
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiPacket.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiPacket.java
@@ -36,6 +36,17 @@
     return vars.getOrDefault(name, "");
   }
 
+  /** Encodes vars of which no name and no value exceeds {@link #MAX_LENGTH}. */
+  static byte[] encodeVars(Map<String, String> vars) {
+    ByteArrayOutputStream block = new ByteArrayOutputStream();
+    vars.forEach(
+        (name, value) -> {
+          append(block, name);
+          append(block, value);
+        });
+    return block.toByteArray();
+  }
+
   /** Encodes the packet; returns empty if a string or all vars exceed {@link #MAX_LENGTH}. */
   Optional<ByteBuffer> encode() {
     ByteArrayOutputStream block = new ByteArrayOutputStream();
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiRequestParser.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiRequestParser.java
@@ -28,7 +28,7 @@
 
   private int modifier1;
   private int modifier2;
-  private Map<String, String> vars = Map.of();
+  private EncodedVars vars = new EncodedVars(new byte[0], 0);
   private byte[] body = new byte[0];
   private RequestError error;
 
@@ -62,6 +62,16 @@
     return state != State.HEADER || part.position() > 0;
   }
 
+  /** Returns the heap that the received part of the request occupies. */
+  int heldBytes() {
+    return part.capacity() + vars.heapBytes();
+  }
+
+  /** Returns the heap that the complete request occupies. */
+  int requestBytes() {
+    return vars.heapBytes() + body.length;
+  }
+
   /** Returns the reason why the request is invalid; empty if no error has been found. */
   Optional<RequestError> error() {
     return Optional.ofNullable(error);
@@ -101,6 +111,7 @@
 
   private void parseVars() {
     Map<String, String> parsed = new HashMap<>();
+    boolean hasRepeats = false;
     while (part.hasRemaining()) {
       Optional<String> name = readString();
       Optional<String> value = name.isPresent() ? readString() : Optional.empty();
@@ -113,8 +124,10 @@
         fail(new RequestError(RequestError.Kind.CONFLICTING_VARS));
         return;
       }
+      hasRepeats |= earlier != null;
     }
-    vars = parsed;
+    byte[] block = hasRepeats ? UwsgiPacket.encodeVars(parsed) : part.array();
+    vars = new EncodedVars(block, parsed.size());
     parseContentLength(parsed.getOrDefault("CONTENT_LENGTH", ""));
   }
 
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -39,8 +39,9 @@
  * closed with {@link #closeGracefully}. {@link #abort} is meant for peers that do not read, for
  * peers whose messages no longer matter, and for unused connections that this process has opened.
  *
- * <p>Backpressure: no read is started while more than {@link ConnectionLimits#pauseReadAboveBytes}
- * are queued for writing.
+ * <p>Backpressure: input is neither read nor handled while more than {@link
+ * ConnectionLimits#pauseReadAboveBytes} are queued for writing, or much for what is left of the
+ * {@link OutputMemory}.
  */
 public final class Connection {
   private enum State {
@@ -64,11 +65,19 @@
   private final ConnectionLimits limits;
   private final ByteBuffer input;
   private final WriteQueue writeQueue;
+  private final WriteTimeout writeTimeout;
 
   /** Null until {@link #start}. */
   private ConnectionHandler handler;
 
   private boolean reading;
+
+  /** Whether {@link #input} has bytes that the handler has not handled. */
+  private boolean inputPending;
+
+  /** Whether the next turn of this connection's input is queued on the loop. */
+  private boolean turnScheduled;
+
   private boolean writing;
   private State state = State.OPEN;
 
@@ -79,7 +88,6 @@
 
   private long lastActivityNs = System.nanoTime();
   private long outputShutdownNs;
-  private Future<?> writeTimeout;
   private Future<?> lingerTimeout;
 
   Connection(EventLoop loop, AsynchronousSocketChannel channel, ConnectionLimits limits) {
@@ -87,7 +95,9 @@
     this.channel = channel;
     this.limits = limits;
     input = ByteBuffer.allocate(limits.readBufferBytes());
-    writeQueue = new WriteQueue(this, limits.output());
+    writeQueue = new WriteQueue(limits.output(), this::closeForUnreadOutput);
+    writeTimeout =
+        new WriteTimeout(loop, limits.writeTimeoutUs(), writeQueue, this::closeAfterWriteTimeout);
     try {
       channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException | UnsupportedOperationException e) {
@@ -118,7 +128,7 @@
 
   /** Returns what would be lost if the connection were closed now. */
   ConnectionUsage usage() {
-    return handler == null || state != State.OPEN || !writeQueue.isEmpty()
+    return handler == null || state != State.OPEN || inputPending || !writeQueue.isEmpty()
         ? ConnectionUsage.BUSY
         : handler.usage();
   }
@@ -160,7 +170,7 @@
       return false;
     }
     if (writeQueue.queuedBytes() + bytes.remaining() > limits.maxQueuedBytes()
-        || !limits.output().makeRoom(bytes.remaining())) {
+        || !limits.output().makeRoom(bytes.remaining() + WriteQueue.BUFFER_OBJECT_BYTES)) {
       closeForUnreadOutput();
     }
     if (isClosed()) { // also where this connection was closed to make room
@@ -215,13 +225,8 @@
     lingerTimeout = loop.schedule(LINGER_US, this::closeLocally);
   }
 
-  /** Returns since when the peer has accepted no byte although some are queued. */
-  long lastWriteProgressNs() {
-    return writeQueue.lastProgressNs();
-  }
-
   /** Closes the connection because its peer does not read its output. */
-  void closeForUnreadOutput() {
+  private void closeForUnreadOutput() {
     close(
         new Failure(
             Progress.NOT_SENT,
@@ -230,15 +235,16 @@
         false);
   }
 
+  private void closeAfterWriteTimeout() {
+    close(new Failure(Progress.NOT_SENT, FailureReason.WRITE_TIMED_OUT), false);
+  }
+
   private void closeLocally() {
     close(new Failure(Progress.SENT, FailureReason.CLOSED_LOCALLY), false);
   }
 
   private void read() {
-    if (reading
-        || state == State.CLOSED
-        || handler == null
-        || writeQueue.queuedBytes() > limits.pauseReadAboveBytes()) {
+    if (reading || state == State.CLOSED || handler == null || inputPending || isOutputBackedUp()) {
       return;
     }
     reading = true;
@@ -283,15 +289,46 @@
       return;
     }
     input.flip();
+    inputPending = true;
+    handleInput();
+  }
+
+  /**
+   * Lets the handler handle input. What it leaves waits for the other connections' turns on the
+   * loop, and until the peer has read what it was sent.
+   */
+  private void handleInput() {
+    if (!inputPending || turnScheduled || state == State.CLOSED || isOutputBackedUp()) {
+      return;
+    }
     if (state != State.HALF_CLOSED) {
       dispatchInput();
     }
+    if (state == State.OPEN || state == State.CLOSING) {
+      if (input.hasRemaining() && handler.leftInput()) {
+        turnScheduled = true;
+        loop.execute(this::takeTurn);
+        return;
+      }
+    }
+    inputPending = false;
     // cleared only now, since the handler may call closeGracefully before the end of its input
     readCompleted = false;
     read();
     shutdownOutputWhenDrained();
   }
 
+  private void takeTurn() {
+    turnScheduled = false;
+    handleInput();
+  }
+
+  private boolean isOutputBackedUp() {
+    int queuedBytes = writeQueue.queuedBytes();
+    return queuedBytes > limits.pauseReadAboveBytes()
+        || (queuedBytes > 0 && limits.output().isScarceFor(writeQueue.heapBytes()));
+  }
+
   /**
    * Passes the input to the handler. An exception in the handler closes only this connection, as
    * does an error that concerns this input alone; other errors, such as lack of memory, are not
@@ -312,9 +349,7 @@
       return;
     }
     writing = true;
-    if (writeTimeout == null) {
-      scheduleWriteTimeout();
-    }
+    writeTimeout.start();
     try {
       channel.write(
           writeQueue.nextChunk(),
@@ -340,38 +375,14 @@
     writeQueue.written(count);
     lastActivityNs = System.nanoTime();
     if (writeQueue.isEmpty()) {
-      cancelWriteTimeout();
+      writeTimeout.cancel();
     }
     writeNext();
+    handleInput();
     read();
     shutdownOutputWhenDrained();
   }
 
-  private void scheduleWriteTimeout() {
-    long writtenBefore = writeQueue.writtenBytes();
-    writeTimeout = loop.schedule(limits.writeTimeoutUs(), () -> checkWriteProgress(writtenBefore));
-  }
-
-  /** Closes the connection if the peer has accepted no byte during the write timeout. */
-  private void checkWriteProgress(long writtenBefore) {
-    writeTimeout = null;
-    if (state == State.CLOSED || writeQueue.isEmpty()) {
-      return;
-    }
-    if (writeQueue.writtenBytes() == writtenBefore) {
-      close(new Failure(Progress.NOT_SENT, FailureReason.WRITE_TIMED_OUT), false);
-    } else {
-      scheduleWriteTimeout();
-    }
-  }
-
-  private void cancelWriteTimeout() {
-    if (writeTimeout != null) {
-      writeTimeout.cancel(false);
-      writeTimeout = null;
-    }
-  }
-
   /** Enters {@code CLOSED}. Every connection ends through this method. */
   private void close(Failure failure, boolean endOfStream) {
     if (state == State.CLOSED) {
@@ -379,7 +390,7 @@
     }
     state = State.CLOSED;
     writeQueue.clear();
-    cancelWriteTimeout();
+    writeTimeout.cancel();
     if (lingerTimeout != null) {
       lingerTimeout.cancel(false);
     }
--- a/src/main/java/rosecleat/net/ConnectionHandler.java
+++ b/src/main/java/rosecleat/net/ConnectionHandler.java
@@ -20,10 +20,18 @@
 
   /**
    * Handles received bytes. The buffer is reused after the call, so the handler must consume or
-   * copy all of it.
+   * copy all that it needs, unless {@link #leftInput} returns true.
    */
   void received(ByteBuffer bytes);
 
+  /**
+   * Returns whether the last call of {@link #received} left input so that other connections get
+   * their turn on the event loop. The handler is then called again with the remaining bytes.
+   */
+  default boolean leftInput() {
+    return false;
+  }
+
   /**
    * Handles the end of the connection. Called once, and never from within a call that the handler
    * makes to the connection.
--- a/src/main/java/rosecleat/net/OutputMemory.java
+++ b/src/main/java/rosecleat/net/OutputMemory.java
@@ -7,12 +7,17 @@
 
 /**
  * A bound on the output that clients have not read, as a sum over the connections that share it.
- * Where a connection needs more than is left, those whose peers have accepted no byte for longest
- * are closed, until there is enough. All methods must be called on the event loop.
+ * Input of a connection waits while its unread output is large for what is left, so that a client
+ * that sends without reading costs itself. Where a connection needs more than is left, those are
+ * closed whose output has occupied most memory for longest. All methods must be called on the event
+ * loop.
  */
 public final class OutputMemory {
+  /** Share of the free memory that the unread output of one connection may reach. */
+  private static final int FREE_SHARE_DIVISOR = 8;
+
   private final long limitBytes;
-  private final Set<Connection> unread = new LinkedHashSet<>();
+  private final Set<WriteQueue> unread = new LinkedHashSet<>();
   private long queuedBytes;
 
   /** Creates a bound of {@code limitBytes}. */
@@ -30,6 +35,11 @@
     return queuedBytes;
   }
 
+  /** Returns whether the unread output of a connection is large for what is left. */
+  boolean isScarceFor(int queuedByConnection) {
+    return queuedByConnection > (limitBytes - queuedBytes) / FREE_SHARE_DIVISOR;
+  }
+
   /**
    * Makes room for output, if necessary by closing connections that do not read. The connection
    * that asks may be among them.
@@ -37,26 +47,27 @@
    * @return whether there is room
    */
   boolean makeRoom(int bytes) {
-    while (queuedBytes + bytes > limitBytes) {
-      Optional<Connection> stalled =
-          unread.stream().min(Comparator.comparingLong(Connection::lastWriteProgressNs));
-      if (stalled.isEmpty()) {
+    while (bytes > limitBytes - queuedBytes) {
+      long nowNs = System.nanoTime();
+      Optional<WriteQueue> worst =
+          unread.stream().max(Comparator.comparingDouble(each -> each.unreadByteTime(nowNs)));
+      if (worst.isEmpty()) {
         return false;
       }
-      stalled.get().closeForUnreadOutput();
+      worst.get().closeConnection();
     }
     return true;
   }
 
-  void added(Connection connection, int bytes) {
+  void added(WriteQueue queue, int bytes) {
     queuedBytes += bytes;
-    unread.add(connection);
+    unread.add(queue);
   }
 
-  void removed(Connection connection, int bytes, boolean isEmpty) {
+  void removed(WriteQueue queue, int bytes, boolean isEmpty) {
     queuedBytes -= bytes;
     if (isEmpty) {
-      unread.remove(connection);
+      unread.remove(queue);
     }
   }
 }
--- a/src/main/java/rosecleat/net/WriteQueue.java
+++ b/src/main/java/rosecleat/net/WriteQueue.java
@@ -5,6 +5,9 @@
 
 /** A FIFO queue of a connection's unwritten bytes. All methods must be called on the event loop. */
 final class WriteQueue {
+  /** Objects of one buffer beside its bytes. */
+  static final int BUFFER_OBJECT_BYTES = 80;
+
   /**
    * Most bytes per write operation. The JDK copies each chunk into a buffer outside the heap, so
    * this bounds the size of that buffer.
@@ -12,18 +15,23 @@
   private static final int MAX_CHUNK_BYTES = 16 << 10;
 
   private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
-  private final Connection owner;
   private final OutputMemory memory;
+  private final Runnable closer;
   private int queuedBytes;
   private long writtenBytes;
 
   /** When bytes were last written, or when the queue was last empty. */
   private long lastProgressNs;
 
-  /** Creates an empty queue whose bytes count as unread output of its owner. */
-  WriteQueue(Connection owner, OutputMemory memory) {
-    this.owner = owner;
+  /**
+   * Creates an empty queue.
+   *
+   * @param memory the memory that the unread output of several connections shares
+   * @param closer closes the connection, because its peer does not read
+   */
+  WriteQueue(OutputMemory memory, Runnable closer) {
     this.memory = memory;
+    this.closer = closer;
   }
 
   void add(ByteBuffer bytes) {
@@ -31,13 +39,8 @@
       lastProgressNs = System.nanoTime();
     }
     queuedBytes += bytes.remaining();
-    memory.added(owner, bytes.remaining());
     buffers.add(bytes);
-  }
-
-  /** Returns since when no byte has been written although some are queued. */
-  long lastProgressNs() {
-    return lastProgressNs;
+    memory.added(this, bytes.remaining() + BUFFER_OBJECT_BYTES);
   }
 
   boolean isEmpty() {
@@ -48,6 +51,21 @@
     return queuedBytes;
   }
 
+  /** Returns the heap that the queued bytes occupy. */
+  int heapBytes() {
+    return queuedBytes + BUFFER_OBJECT_BYTES * buffers.size();
+  }
+
+  /** Returns the heap of the queued bytes times how long none of them has been written. */
+  double unreadByteTime(long nowNs) {
+    return (double) heapBytes() * (nowNs - lastProgressNs);
+  }
+
+  /** Closes the connection, because its peer does not read. */
+  void closeConnection() {
+    closer.run();
+  }
+
   /** Returns the number of bytes written since the connection was established. */
   long writtenBytes() {
     return writtenBytes;
@@ -65,19 +83,21 @@
   void written(int count) {
     lastProgressNs = System.nanoTime();
     queuedBytes -= count;
-    memory.removed(owner, count, queuedBytes == 0);
     writtenBytes += count;
+    int freedBytes = count;
     ByteBuffer first = buffers.element();
     first.position(first.position() + count);
     if (!first.hasRemaining()) {
       buffers.remove();
+      freedBytes += BUFFER_OBJECT_BYTES;
     }
+    memory.removed(this, freedBytes, buffers.isEmpty());
   }
 
   /** Discards all unwritten bytes. */
   void clear() {
+    memory.removed(this, heapBytes(), true);
     buffers.clear();
-    memory.removed(owner, queuedBytes, true);
     queuedBytes = 0;
   }
 }
--- a/src/main/java/rosecleat/node/DescriptorAllocation.java
+++ b/src/main/java/rosecleat/node/DescriptorAllocation.java
@@ -37,7 +37,8 @@
             parts.settings.policySettings().concurrentCalls(),
             sharedWithPeer);
     parts.index.setMaxConnections(budget.index());
-    parts.frontends.resp().setMaxConnections(budget.balancers());
+    int allowedByMemory = parts.clientMemory.maxConnections() - parts.maxUwsgiConnections;
+    parts.frontends.resp().setMaxConnections(Math.min(budget.balancers(), allowedByMemory));
   }
 
   private int descriptorsOfOtherServers(NodeConfig config) {
@@ -45,7 +46,6 @@
     if (parts.frontends.uwsgi().isEmpty()) {
       return admin;
     }
-    int connections = parts.settings.broker().orElseThrow().maxConnections();
-    return admin + DESCRIPTORS_PER_UWSGI_CONNECTION * connections;
+    return admin + DESCRIPTORS_PER_UWSGI_CONNECTION * parts.maxUwsgiConnections;
   }
 }
--- a/src/main/java/rosecleat/node/NodeParts.java
+++ b/src/main/java/rosecleat/node/NodeParts.java
@@ -46,6 +46,10 @@
   final Runner runner;
   final RegistryClient registry;
   final ClientMemory clientMemory;
+
+  /** The most connections of the uwsgi frontend; 0 without one. */
+  final int maxUwsgiConnections;
+
   final Frontends frontends;
 
   NodeParts(ProcessConfig config, NodeEnvironment environment) throws IOException {
@@ -68,6 +72,7 @@
     runner = runtime.isPresent() ? runtime.get() : new UnavailableRunner(loop, core);
     registry = new RegistryClient(loop, node.registryAddress(), node.name(), counters, log);
     clientMemory = new ClientMemory(Runtime.getRuntime().maxMemory(), maxClientConnections(config));
+    maxUwsgiConnections = maxUwsgiConnections(config, clientMemory.maxConnections());
     frontends = createFrontends(config);
   }
 
@@ -89,6 +94,16 @@
     return Math.max(1, hasBalancers ? config.node().maxSockets() : uwsgi);
   }
 
+  /**
+   * Returns how many connections of the uwsgi frontend memory allows; at most half beside
+   * balancers.
+   */
+  private static int maxUwsgiConnections(ProcessConfig config, int maxConnections) {
+    boolean hasBalancers = config.node().listenAddress() != null;
+    int allowed = Math.max(1, hasBalancers ? maxConnections / 2 : maxConnections);
+    return Math.min(allowed, config.broker().map(BrokerConfig::maxConnections).orElse(0));
+  }
+
   private Frontends createFrontends(ProcessConfig config) throws IOException {
     RespFrontend resp =
         new RespFrontend(
--- a/src/main/java/rosecleat/node/UwsgiFrontendFactory.java
+++ b/src/main/java/rosecleat/node/UwsgiFrontendFactory.java
@@ -26,6 +26,8 @@
     return new UwsgiFrontend(
         parts.loop,
         broker,
+        parts.maxUwsgiConnections,
+        parts.clientMemory,
         parts.core,
         parts.runner,
         runner,
--- a/src/test/java/rosecleat/flood/IncompleteInputFloodTest.java
+++ b/src/test/java/rosecleat/flood/IncompleteInputFloodTest.java
@@ -9,11 +9,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import rosecleat.fakes.RespClient;
+import rosecleat.fakes.UwsgiClient;
 
 /**
  * Hundreds of clients that stop in the middle of a message, against a process with the heap of its
@@ -21,6 +23,7 @@
  */
 class IncompleteInputFloodTest {
   private static final int FEW_UWSGI_CONNECTIONS = 16;
+  private static final int MANY_UWSGI_CONNECTIONS = 400;
   private static final int BAD_CONNECTIONS = 900;
   private static final long FLOOD_MS = 4_000;
 
@@ -67,8 +70,65 @@
     }
   }
 
+  /** Guards the heap against the sum of many incomplete bodies. */
+  @ParameterizedTest
+  @ValueSource(ints = {112, 144, 192})
+  void incompleteUwsgiBodiesOfManyClientsHarmNoOtherClient(int memoryMb) throws Exception {
+    Map<String, String> vars =
+        UwsgiClient.vars("POST", "/x", "aspen-dining", "P", "p".repeat(16_000));
+    byte[] packet = UwsgiClient.packet(vars, "b".repeat(60_000));
+    byte[] incomplete = Arrays.copyOf(packet, packet.length - 256);
+    floodUwsgi(memoryMb, incomplete);
+  }
+
+  /** Guards the heap against the objects of very many short vars, which exceed their bytes. */
+  @ParameterizedTest
+  @ValueSource(ints = {112, 144, 192})
+  void incompleteUwsgiRequestsWithManyShortVarsHarmNoOtherClient(int memoryMb) throws Exception {
+    Map<String, String> vars = UwsgiClient.vars("POST", "/x", "aspen-dining");
+    for (int i = 0; i < 2_000; i++) {
+      vars.put(Integer.toString(i, Character.MAX_RADIX), "");
+    }
+    vars.put("CONTENT_LENGTH", "2");
+    floodUwsgi(memoryMb, UwsgiClient.packet(vars, "b"));
+  }
+
+  private void floodUwsgi(int memoryMb, byte[] bytes) throws Exception {
+    try (DeployedNode node = DeployedNode.start(folder, memoryMb, MANY_UWSGI_CONNECTIONS)) {
+      flood(node, BadClients.fast(node.uwsgiPort, MANY_UWSGI_CONNECTIONS - 16, bytes));
+    }
+  }
+
+  /** Guards the heap against the sum of answers that many clients do not read. */
+  @ParameterizedTest
+  @ValueSource(ints = {112, 192})
+  void unreadAnswersOfManyClientsHarmNoOtherClient(int memoryMb) throws Exception {
+    ByteArrayOutputStream checks = new ByteArrayOutputStream();
+    for (int tag = 1; tag <= 40_000; tag++) {
+      checks.writeBytes(RespClient.array("PING", tag, ""));
+    }
+    byte[] bytes = checks.toByteArray();
+    try (DeployedNode node = DeployedNode.start(folder, memoryMb, FEW_UWSGI_CONNECTIONS)) {
+      flood(node, new BadClients(node.respPort, 500, bytes, bytes.length, false));
+    }
+  }
+
   /** Lets bad clients act beside a balancer and a web server, and checks what these get. */
   static void flood(DeployedNode node, BadClients bad) throws Exception {
+    SteadyWebServer webServer = flood(node, bad::run);
+    assertEquals(0, webServer.refused(), webServer.sent() + " requests sent");
+  }
+
+  /** The acts of bad clients. */
+  interface Disturbance {
+    void run(long durationMs) throws IOException;
+  }
+
+  /**
+   * Like the other method, for clients whose own requests may take capacity; these may cause
+   * refusals.
+   */
+  static SteadyWebServer flood(DeployedNode node, Disturbance bad) throws Exception {
     SteadyBalancer balancer = new SteadyBalancer(node.respPort, 1);
     SteadyWebServer webServer = new SteadyWebServer(node.uwsgiPort);
     Thread balancing = start("balancer", () -> balancer.run(FLOOD_MS + 1_500));
@@ -86,6 +146,7 @@
       check.send(RespClient.array("PING", 1, ""));
       assertEquals("UP", check.answer().get(1), state);
     }
+    return webServer;
   }
 
   private static String lastLines(String log) {
