--- a/src/main/java/rosecleat/policy/IdleConnectionTimeout.java
+++ b/src/main/java/rosecleat/policy/IdleConnectionTimeout.java
@@ -30,6 +30,9 @@
   /** Lower bound of the utilisation that the benefit is computed with (share of the cores). */
   private static final double MIN_UTILISATION = 0.01;
 
+  /** Most callers whose last arrival is remembered; beyond it the oldest is forgotten. */
+  private static final int MAX_CALLERS = 4_096;
+
   private final PolicyContext context;
 
   /** Last arrival time of each caller (us), oldest first. */
@@ -56,7 +59,8 @@
             (double) context.settings().maxIdleUs(),
             CONNECTION_SETUP_BENEFIT_US / Math.max(averageUtilisation, MIN_UTILISATION));
     Iterator<Long> times = lastArrivals.values().iterator(); // oldest first
-    while (times.hasNext() && now - times.next() >= benefitUs) {
+    while (times.hasNext()
+        && (now - times.next() >= benefitUs || lastArrivals.size() >= MAX_CALLERS)) {
       times.remove();
     }
     Long before = lastArrivals.remove(callerId);
