Know the ids of the latest runs after their clients have left, in all processes of a node

What callers saw: an id ran twice when it came again after its client had left, or at the other process of an upgrade.

Cause: an id was known only while its request was in flight, and only in its own process.

Each process writes an id to its file before the run starts and looks into the files of the others after that, so of two that start one id at once at most one runs. Proof that nothing ran takes the id out.

--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -28,6 +28,7 @@
   private final InFlightRequests requests = new InFlightRequests();
   private final GracefulShutdown shutdown = new GracefulShutdown();
   private final LoadEstimator loadEstimator = new LoadEstimator();
+  private final StartedRuns startedRuns;
   private final RequestCloser closer;
   private final IdempotentAttempts attempts;
   private final DownstreamCalls calls;
@@ -46,7 +47,15 @@
       LongSupplier clock,
       Counters counters,
       Log log) {
-    this(settings, policy, downstream, IdempotencyClaims.SINGLE_PROCESS, clock, counters, log);
+    this(
+        settings,
+        policy,
+        downstream,
+        IdempotencyClaims.SINGLE_PROCESS,
+        new LocalStartedRuns(),
+        clock,
+        counters,
+        log);
   }
 
   /**
@@ -56,6 +65,7 @@
    * @param policy decides on requests; started by {@link #start}
    * @param downstream makes the downstream calls of runs
    * @param claims the claims on idempotency keys that the processes of this node share
+   * @param startedRuns the runs that the processes of this node may have executed
    * @param clock the time in Unix microseconds; must be monotonic
    * @param counters the counters that are shown to operators
    * @param log the log of this process
@@ -65,18 +75,20 @@
       PolicyEngine policy,
       DownstreamClient downstream,
       IdempotencyClaims claims,
+      StartedRuns startedRuns,
       LongSupplier clock,
       Counters counters,
       Log log) {
     this.settings = settings;
     this.policy = policy;
+    this.startedRuns = startedRuns;
     this.clock = clock;
     this.counters = counters;
     this.log = log;
     closer = new RequestCloser(requests, counters, this::report);
     attempts = new IdempotentAttempts(settings, claims, closer, clock, counters);
     calls = new DownstreamCalls(downstream, clock, counters, this::report);
-    runs = new Runs(requests, closer, attempts, calls, clock, counters, log);
+    runs = new Runs(requests, closer, attempts, startedRuns, calls, clock, counters, log);
     policyDriver =
         new PolicyDriver(settings, policy, requests, runs, calls, attempts, shutdown, clock, log);
   }
@@ -115,7 +127,7 @@
     return settings.maxIdempotencyWindowUs();
   }
 
-  /** Returns the number of requests whose response is awaited or whose run has not ended. */
+  /** Returns the number of requests that await their response or the end of their run. */
   public int inFlight() {
     return requests.size();
   }
@@ -216,10 +228,9 @@
       closer.respond(request, Response.rejected());
       return NOTHING_TO_CANCEL;
     }
-    Optional<FailureReason> conflict = conflict(request);
+    Optional<Response> conflict = conflict(request);
     if (conflict.isPresent()) {
-      closer.respond(
-          request, Response.failed(Progress.NOT_SENT, conflict.get(), FailureCause.CALLER));
+      closer.respond(request, conflict.get());
       return NOTHING_TO_CANCEL;
     }
     requests.add(request);
@@ -238,13 +249,17 @@
         ++lastSequence, request, requestClass, request.arrivedAtUs() + timeoutUs);
   }
 
-  private Optional<FailureReason> conflict(InFlightRequest request) {
+  /** Returns the response to a request that must not run because of an earlier one. */
+  private Optional<Response> conflict(InFlightRequest request) {
     if (requests.contains(request.id())) {
-      return Optional.of(FailureReason.DUPLICATE_REQUEST_ID);
+      return Optional.of(Runs.conflict(FailureReason.DUPLICATE_REQUEST_ID));
+    }
+    if (!request.idempotent() && startedRuns.mayHaveRun(request.id())) {
+      counters.add("ids.repeated");
+      return Optional.of(Runs.earlierAttemptMayHaveRun());
     }
-    return attempts.conflicts(request)
-        ? Optional.of(FailureReason.IDEMPOTENCY_KEY_CONFLICT)
-        : Optional.empty();
+    return Optional.of(Runs.conflict(FailureReason.IDEMPOTENCY_KEY_CONFLICT))
+        .filter(response -> attempts.conflicts(request));
   }
 
   private void cancel(InFlightRequest request) {
--- a/src/main/java/rosecleat/core/Runs.java
+++ b/src/main/java/rosecleat/core/Runs.java
@@ -17,6 +17,7 @@
   private final InFlightRequests requests;
   private final RequestCloser closer;
   private final IdempotentAttempts attempts;
+  private final StartedRuns startedRuns;
   private final DownstreamCalls calls;
   private final LongSupplier clock;
   private final Counters counters;
@@ -27,6 +28,7 @@
       InFlightRequests requests,
       RequestCloser closer,
       IdempotentAttempts attempts,
+      StartedRuns startedRuns,
       DownstreamCalls calls,
       LongSupplier clock,
       Counters counters,
@@ -34,6 +36,7 @@
     this.requests = requests;
     this.closer = closer;
     this.attempts = attempts;
+    this.startedRuns = startedRuns;
     this.calls = calls;
     this.clock = clock;
     this.counters = counters;
@@ -58,12 +61,7 @@
       log.warn(
           "run not started: the request, or another attempt with its idempotency key, may have run"
               + " already");
-      closer.endWithoutRun(
-          request,
-          Response.failed(
-              Progress.MAY_HAVE_RUN,
-              FailureReason.EARLIER_ATTEMPT_MAY_HAVE_RUN,
-              FailureCause.BACKEND));
+      closer.endWithoutRun(request, earlierAttemptMayHaveRun());
       return;
     }
     if (afterGracePeriod) {
@@ -75,16 +73,36 @@
     switch (attempts.claim(request)) {
       case GRANTED -> execute(request);
       case KEY_CONFLICT ->
-          closer.endWithoutRun(
-              request,
-              Response.failed(
-                  Progress.NOT_SENT, FailureReason.IDEMPOTENCY_KEY_CONFLICT, FailureCause.CALLER));
+          closer.endWithoutRun(request, conflict(FailureReason.IDEMPOTENCY_KEY_CONFLICT));
       case UNAVAILABLE -> closer.endWithoutRun(request, Response.rejected());
       default -> {} // RUNS_ON_PEER_PROCESS: the request waits for the peer's result
     }
   }
 
+  /** Returns the response to a request that its caller must send in another form. */
+  static Response conflict(FailureReason reason) {
+    return Response.failed(Progress.NOT_SENT, reason, FailureCause.CALLER);
+  }
+
+  /** Returns the response to an attempt that must not run since an earlier one may have run. */
+  static Response earlierAttemptMayHaveRun() {
+    return Response.failed(
+        Progress.MAY_HAVE_RUN, FailureReason.EARLIER_ATTEMPT_MAY_HAVE_RUN, FailureCause.BACKEND);
+  }
+
+  /**
+   * Hands a request to its runner. Its id is recorded first, so that of two processes that start
+   * the same id at once at most one does.
+   */
   private void execute(InFlightRequest request) {
+    if (!request.idempotent()) {
+      startedRuns.starting(request.id());
+      if (startedRuns.mayHaveRunInPeer(request.id())) {
+        counters.add("ids.repeated");
+        closer.endWithoutRun(request, earlierAttemptMayHaveRun());
+        return;
+      }
+    }
     request.startRun(clock.getAsLong());
     counters.add("starts");
     request
@@ -184,6 +202,7 @@
   private void runnerNotReached(InFlightRequest request, long durationUs) {
     List<InFlightRequest> waiting = attempts.runNeverExecuted(request);
     request.markNeverRan();
+    startedRuns.neverRan(request.id());
     closer.respond(
         request,
         Response.failed(Progress.NOT_SENT, FailureReason.RUNNER_UNREACHABLE, FailureCause.BACKEND));
--- a/src/main/java/rosecleat/node/NodeParts.java
+++ b/src/main/java/rosecleat/node/NodeParts.java
@@ -64,7 +64,15 @@
     index = new IndexClient(loop, node.indexAddress(), clock, counters, log);
     policy = new PolicyEngine(settings.policySettings(), settings.gauges(), node.seed());
     core =
-        new Core(settings.coreSettings(), policy, index, takeover.claims(), clock, counters, log);
+        new Core(
+            settings.coreSettings(),
+            policy,
+            index,
+            takeover.claims(),
+            takeover.startedRuns(),
+            clock,
+            counters,
+            log);
     limitShares = new LimitShares(takeover, settings, policy, clock);
     persistence.attach(settings, policy, loop, clock, counters);
     index.setCore(core);
--- a/src/main/java/rosecleat/takeover/NoPeers.java
+++ b/src/main/java/rosecleat/takeover/NoPeers.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import rosecleat.core.IdempotencyClaims;
+import rosecleat.core.LocalStartedRuns;
+import rosecleat.core.StartedRuns;
 
 /** The coordinator of a node without a shared folder, whose only process is this one. */
 final class NoPeers implements TakeoverCoordinator {
+  private final StartedRuns startedRuns = new LocalStartedRuns();
   private boolean drained;
 
   @Override
@@ -19,6 +22,11 @@
     return limits;
   }
 
+  @Override
+  public StartedRuns startedRuns() {
+    return startedRuns;
+  }
+
   @Override
   public boolean hasPeers() {
     return false;
--- a/src/main/java/rosecleat/takeover/SharedFolderCoordinator.java
+++ b/src/main/java/rosecleat/takeover/SharedFolderCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import rosecleat.core.Counters;
 import rosecleat.core.IdempotencyClaims;
+import rosecleat.core.StartedRuns;
 import rosecleat.log.Log;
 
 /**
@@ -24,6 +25,7 @@
   private final Path drainFile;
   private final ProcessMarkers markers;
   private final SymlinkClaims claims;
+  private final SharedStartedRuns startedRuns;
   private final PeerLoadReports loadReports;
   private boolean drained;
   private boolean predecessorIsAlive;
@@ -38,6 +40,7 @@
     drainFile = folder.resolve(DRAINED);
     markers = new ProcessMarkers(folder);
     claims = new SymlinkClaims(folder.resolve(CLAIMS), markers, counters, log);
+    startedRuns = new SharedStartedRuns(folder, markers.ownNumber(), counters, log);
     loadReports = new PeerLoadReports(folder, markers.ownNumber());
     poll(0);
     if (predecessorIsAlive) {
@@ -67,6 +70,7 @@
     boolean predecessor = false;
     boolean successor = false;
     boolean serving = false;
+    startedRuns.setProcessNumbers(markers.processNumbers());
     for (int number : markers.processNumbers()) {
       if (number == markers.ownNumber() || !markers.isAlive(number)) {
         continue;
@@ -86,6 +90,7 @@
       if (number < markers.ownNumber()) {
         markers.remove(number);
         loadReports.remove(number);
+        startedRuns.removeFile(number);
       }
     }
   }
@@ -194,9 +199,15 @@
     return claims;
   }
 
+  @Override
+  public StartedRuns startedRuns() {
+    return startedRuns;
+  }
+
   @Override
   public void close() {
     try {
+      startedRuns.close();
       markers.close();
     } catch (IOException e) {
       log.warn("could not close marker file of this process: " + e);
--- a/src/main/java/rosecleat/takeover/TakeoverCoordinator.java
+++ b/src/main/java/rosecleat/takeover/TakeoverCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import rosecleat.core.Counters;
 import rosecleat.core.IdempotencyClaims;
+import rosecleat.core.StartedRuns;
 import rosecleat.log.Log;
 
 /**
@@ -86,6 +87,9 @@
   /** Returns the claims of idempotency keys that this process shares with its peers. */
   IdempotencyClaims claims();
 
+  /** Returns the runs that this process and its peers may have executed. */
+  StartedRuns startedRuns();
+
   /** Releases this process's marker, after which peers regard this process as dead. */
   @Override
   void close();
--- a/src/test/java/rosecleat/core/CoreHarness.java
+++ b/src/test/java/rosecleat/core/CoreHarness.java
@@ -135,6 +135,7 @@
             new PolicyEngine(config.settings().policy(), config.settings().gaugeNames(), 5),
             downstream,
             claims,
+            new LocalStartedRuns(),
             () -> nowUs,
             new Counters(),
             log);
