Keep no count of output for connections that share no memory

What callers saw: in the test suite, where several loops run in one process, links to the runtime were closed with "the peer does not read: 0 bytes wait".

Cause: ConnectionLimits.SMALL and the limits of the runtime's link are static, so their unlimited OutputMemory was shared by the threads of several loops, and its count became negative.

Evidence: the line came again and again in a run of the whole suite, which was ended for it.

Why this works: the unlimited memory has no state. A node has one loop, so no deployed process was affected.

--- a/src/main/java/rosecleat/net/ConnectionLimits.java
+++ b/src/main/java/rosecleat/net/ConnectionLimits.java
@@ -32,6 +32,6 @@
         maxQueuedBytes,
         writeTimeoutUs,
         ReadAheadMemory.NONE,
-        new OutputMemory(Long.MAX_VALUE));
+        OutputMemory.UNLIMITED);
   }
 }
--- a/src/main/java/rosecleat/net/OutputMemory.java
+++ b/src/main/java/rosecleat/net/OutputMemory.java
@@ -16,6 +16,9 @@
   /** Share of the free memory that the unread output of one connection may reach. */
   private static final int FREE_SHARE_DIVISOR = 8;
 
+  /** No bound, for connections that share no memory; keeps no state, so that loops may share it. */
+  static final OutputMemory UNLIMITED = new OutputMemory(Long.MAX_VALUE);
+
   private final long limitBytes;
   private final Set<WriteQueue> unread = new LinkedHashSet<>();
   private long queuedBytes;
@@ -37,7 +40,8 @@
 
   /** Returns whether the unread output of a connection is large for what is left. */
   boolean isScarceFor(int queuedByConnection) {
-    return queuedByConnection > (limitBytes - queuedBytes) / FREE_SHARE_DIVISOR;
+    return this != UNLIMITED
+        && queuedByConnection > (limitBytes - queuedBytes) / FREE_SHARE_DIVISOR;
   }
 
   /**
@@ -47,7 +51,7 @@
    * @return whether there is room
    */
   boolean makeRoom(int bytes) {
-    while (bytes > limitBytes - queuedBytes) {
+    while (this != UNLIMITED && queuedBytes + bytes > limitBytes) {
       long nowNs = System.nanoTime();
       Optional<WriteQueue> worst =
           unread.stream().max(Comparator.comparingDouble(each -> each.unreadByteTime(nowNs)));
@@ -60,11 +64,16 @@
   }
 
   void added(WriteQueue queue, int bytes) {
-    queuedBytes += bytes;
-    unread.add(queue);
+    if (this != UNLIMITED) {
+      queuedBytes += bytes;
+      unread.add(queue);
+    }
   }
 
   void removed(WriteQueue queue, int bytes, boolean isEmpty) {
+    if (this == UNLIMITED) {
+      return;
+    }
     queuedBytes -= bytes;
     if (isEmpty) {
       unread.remove(queue);
--- a/src/main/java/rosecleat/net/package-info.java
+++ b/src/main/java/rosecleat/net/package-info.java
@@ -3,8 +3,8 @@
  * parsers of all wire formats.
  *
  * <p>All state is confined to the loop's thread. The I/O thread of the channel group only posts
- * completed operations to the loop, with two exceptions: {@code InputReader} reads on there until the
- * socket has no more input, and {@link rosecleat.net.Listener} sets a flag that an accept has
+ * completed operations to the loop, with two exceptions: {@code InputReader} reads on there until
+ * the socket has no more input, and {@link rosecleat.net.Listener} sets a flag that an accept has
  * completed. Neither a connection nor a listener is closed before the loop has handled the result.
  *
  * <p>The package uses the failure values of {@code rosecleat.core} and {@code rosecleat.log}, and
