Handle input only in the task that was posted for it

What callers saw: TenantReloadTest failed once in a run of the whole suite, the first with InputReader: a request was refused by the configuration that a reload had replaced 0.7 ms before.

Cause: the end of a write lets a connection go on with its input, and found there what the I/O thread had read but not yet posted. Such input passed the reload's task, which had been posted earlier.

Evidence: the log of the failed run has the refusal in front of the line of the reload.

Why this works: what the I/O thread reads becomes visible to the loop in the task that it posts, so that input keeps its place among all tasks, as before InputReader.

--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -238,6 +238,7 @@
   private void inputAvailable() {
     if (state != State.CLOSED) {
       lastActivityNs = System.nanoTime();
+      reader.announceArrived();
       handleInput();
     }
   }
@@ -260,7 +261,7 @@
       if (!leftInput) {
         reader.releaseInput();
       }
-      if (reader.hasUnhandled()) {
+      if (reader.input() != null || reader.end() != null) {
         turnScheduled = true;
         loop.execute(this::takeTurn);
       }
@@ -278,7 +279,7 @@
   private boolean closeAtEndOfInput() {
     InputReader.End end = reader.end();
     boolean discards = state == State.HALF_CLOSED || handler.discardsInputAtEnd();
-    if (end == null || !(discards || reader.input() == null)) {
+    if (end == null || !(discards || !reader.hasInput())) {
       return false;
     }
     FailureReason reason =
--- a/src/main/java/rosecleat/net/InputReader.java
+++ b/src/main/java/rosecleat/net/InputReader.java
@@ -34,13 +34,19 @@
   private final ReadAheadMemory memory;
   private final Runnable available;
 
+  /**
+   * Input that was announced to the event loop, which alone uses this queue. Input that arrived
+   * later waits for its own task, so that it is not handled before tasks that were posted earlier.
+   */
+  private final ArrayDeque<ByteBuffer> announced = new ArrayDeque<>(OWN_BUFFERS);
+
   /** Nested calls of the completion handler; used on the I/O thread only. */
   private int depth;
 
   // The following fields are guarded by this object's monitor.
   private final ByteBuffer[] ownBuffers = new ByteBuffer[OWN_BUFFERS];
   private final ArrayDeque<ByteBuffer> unused = new ArrayDeque<>(OWN_BUFFERS);
-  private final ArrayDeque<ByteBuffer> filled = new ArrayDeque<>(OWN_BUFFERS);
+  private final ArrayDeque<ByteBuffer> arrived = new ArrayDeque<>(OWN_BUFFERS);
   private int extraBytes;
   private boolean reading;
   private boolean closed;
@@ -130,7 +136,7 @@
 
   private synchronized void store(ByteBuffer buffer) {
     reading = false;
-    filled.add(buffer.flip());
+    arrived.add(buffer.flip());
   }
 
   private synchronized void endWith(End newEnd) {
@@ -138,14 +144,20 @@
     end = newEnd;
   }
 
-  /** Returns the oldest input that has not been released; null if there is none. */
-  synchronized ByteBuffer input() {
-    return filled.peek();
+  /** Takes over the input that has arrived; called by the task that was posted for it. */
+  synchronized void announceArrived() {
+    announced.addAll(arrived);
+    arrived.clear();
+  }
+
+  /** Returns the oldest announced input that has not been released; null if there is none. */
+  ByteBuffer input() {
+    return announced.peek();
   }
 
   /** Releases the buffer that {@link #input} returns. */
   synchronized void releaseInput() {
-    ByteBuffer released = filled.remove();
+    ByteBuffer released = announced.remove();
     if (released == ownBuffers[0] || released == ownBuffers[1]) {
       unused.add(released.clear());
     } else {
@@ -159,9 +171,14 @@
     return end;
   }
 
+  /** Returns whether input has been read that has not been released. */
+  synchronized boolean hasInput() {
+    return !arrived.isEmpty() || !announced.isEmpty();
+  }
+
   /** Returns whether input has been read that has not been released, or the input has ended. */
   synchronized boolean hasUnhandled() {
-    return end != null || !filled.isEmpty();
+    return end != null || hasInput();
   }
 
   /** Stops reading and releases all buffers. */
@@ -170,7 +187,8 @@
       return;
     }
     closed = true;
-    filled.clear();
+    arrived.clear();
+    announced.clear();
     memory.release(extraBytes);
     extraBytes = 0;
   }
