Bound remembered keys by the heap, and let go of their requests when the run ends

What callers saw: nothing yet; found while looking for relatives of a flood under ever new names.

Cause: an idempotency entry kept the request that had run, with its body and through its responder the connection of its caller, for the whole window. Only the 8,192 claims of a process bounded the number of entries, which with 2.9 KB each is more than the heap of a small limit.

Evidence: 8 s of ever new keys at a site that books little memory for a key: 2,603 runs, 13.3 MB of heap in use after that, 5.7 MB before.

Why this works: the entry keeps sequence number and id of its owner. Beyond 0.15 of the heap (at least 1,024 keys) a new key is refused, which says that it never ran. ClientMemory takes 0.55 of the heap less 6 MB in place of 0.6, so that keys and results have room beside it.

--- a/src/main/java/rosecleat/core/Core.java
+++ b/src/main/java/rosecleat/core/Core.java
@@ -28,7 +28,7 @@
   private final InFlightRequests requests = new InFlightRequests();
   private final GracefulShutdown shutdown = new GracefulShutdown();
   private final LoadEstimator loadEstimator = new LoadEstimator();
-  private final StartedRuns startedRuns;
+  private final RequestConflicts conflicts;
   private final RequestCloser closer;
   private final IdempotentAttempts attempts;
   private final DownstreamCalls calls;
@@ -81,12 +81,12 @@
       Log log) {
     this.settings = settings;
     this.policy = policy;
-    this.startedRuns = startedRuns;
     this.clock = clock;
     this.counters = counters;
     this.log = log;
     closer = new RequestCloser(requests, counters, this::report);
     attempts = new IdempotentAttempts(settings, claims, closer, clock, counters);
+    conflicts = new RequestConflicts(requests, startedRuns, attempts, counters);
     calls = new DownstreamCalls(downstream, clock, counters, this::report);
     runs = new Runs(requests, closer, attempts, startedRuns, calls, clock, counters, log);
     policyDriver =
@@ -228,7 +228,7 @@
       closer.respond(request, Response.rejected());
       return NOTHING_TO_CANCEL;
     }
-    Optional<Response> conflict = conflict(request);
+    Optional<Response> conflict = conflicts.find(request);
     if (conflict.isPresent()) {
       closer.respond(request, conflict.get());
       return NOTHING_TO_CANCEL;
@@ -249,19 +249,6 @@
         ++lastSequence, request, requestClass, request.arrivedAtUs() + timeoutUs);
   }
 
-  /** Returns the response to a request that must not run because of an earlier one. */
-  private Optional<Response> conflict(InFlightRequest request) {
-    if (requests.contains(request.id())) {
-      return Optional.of(Runs.conflict(FailureReason.DUPLICATE_REQUEST_ID));
-    }
-    if (!request.idempotent() && startedRuns.mayHaveRun(request.id())) {
-      counters.add("ids.repeated");
-      return Optional.of(Runs.earlierAttemptMayHaveRun());
-    }
-    return Optional.of(Runs.conflict(FailureReason.IDEMPOTENCY_KEY_CONFLICT))
-        .filter(response -> attempts.conflicts(request));
-  }
-
   private void cancel(InFlightRequest request) {
     if (!request.awaitingResponse()) {
       return;
--- a/src/main/java/rosecleat/core/IdempotencyEntry.java
+++ b/src/main/java/rosecleat/core/IdempotencyEntry.java
@@ -20,7 +20,18 @@
   private final byte[] contentDigest;
   private final byte[] payloadDigest;
   private String claimName;
+
+  /**
+   * The attempt whose run this is; null for a run of a peer process, and once the run has ended.
+   */
   private InFlightRequest owner;
+
+  /** The sequence number of the owner; 0 for a run of a peer process. */
+  private long ownerSequence;
+
+  /** The id of the owner; empty for a run of a peer process. */
+  private String ownerId = "";
+
   private long expiresUs;
   private long countedFromUs;
   private boolean runStarted;
@@ -109,7 +120,7 @@
    * is {@code windowUs}.
    */
   long expiresUs(long windowUs) {
-    boolean ranHere = runStarted && owner != null;
+    boolean ranHere = runStarted && !runsOnPeerProcess();
     return ranHere ? Math.max(expiresUs, countedFromUs + windowUs) : expiresUs;
   }
 
@@ -122,23 +133,25 @@
   void makeOwnerUnlessStarted(InFlightRequest attempt) {
     if (!runStarted) {
       owner = attempt;
+      ownerSequence = attempt.sequence();
+      ownerId = attempt.id();
       claimName = attempt.identity().primaryName();
     }
   }
 
   /** Returns whether an attempt owns the run: it was started, or is to be started, for it. */
   boolean ownedBy(InFlightRequest attempt) {
-    return owner == attempt;
+    return ownerSequence == attempt.sequence();
   }
 
   /** Returns whether this process started the run under this id. */
   boolean hasLocalRun(String runId) {
-    return runStarted && owner != null && owner.id().equals(runId);
+    return runStarted && ownerId.equals(runId);
   }
 
   /** Returns whether a peer process executes the run. */
   boolean runsOnPeerProcess() {
-    return owner == null;
+    return ownerSequence == 0;
   }
 
   /**
@@ -147,16 +160,18 @@
    * #RUNS_ON_PEER_PROCESS}, which is never a sequence number, if a peer process executes the run.
    */
   long originalSequence() {
-    if (owner == null) {
+    if (runsOnPeerProcess()) {
       return RUNS_ON_PEER_PROCESS;
     }
-    return runStarted || owner.is(RequestState.QUEUED) ? owner.sequence() : 0;
+    return runStarted || owner.is(RequestState.QUEUED) ? ownerSequence : 0;
   }
 
   /** Marks the owner's run as started. The window is counted from the owner's arrival. */
   void startRun() {
     runStarted = true;
-    countedFromUs = owner.request().arrivedAtUs();
+    if (owner != null) { // else the run is started again after it was cancelled
+      countedFromUs = owner.request().arrivedAtUs();
+    }
   }
 
   /** Returns whether the run was started. */
@@ -169,9 +184,13 @@
     return runEnded;
   }
 
-  /** Marks the run as ended, with or without a result. */
+  /**
+   * Marks the run as ended, with or without a result. The owner is not kept: it refers to its body
+   * and to the connection of its caller, which would stay in memory for the whole window.
+   */
   void endRun(Optional<byte[]> output) {
     runEnded = true;
+    owner = null;
     output.ifPresent(bytes -> result = bytes);
   }
 
--- a/src/main/java/rosecleat/core/IdempotentAttempts.java
+++ b/src/main/java/rosecleat/core/IdempotentAttempts.java
@@ -33,7 +33,16 @@
    */
   private static final long IDLE_CLOSE_DELAY_US = 50_000;
 
+  /** Heap of a remembered key, in the core, the policy and the claims. */
+  private static final long KEY_HEAP_BYTES = 2_400;
+
+  /** Share of the heap that remembered keys may occupy. */
+  private static final double KEYS_HEAP_SHARE = 0.15;
+
+  private static final int MIN_KEYS = 1_024;
+
   private final IdempotencyTable table;
+  private final long maxKeys;
   private final IdempotencyClaims claims;
   private final RequestCloser closer;
   private final LongSupplier clock;
@@ -52,6 +61,7 @@
     this.clock = clock;
     this.counters = counters;
     table = new IdempotencyTable(settings.maxResultBytes());
+    maxKeys = maxKeys(Runtime.getRuntime().maxMemory());
     reconfigure(settings);
   }
 
@@ -143,6 +153,16 @@
     return table.size();
   }
 
+  /** Returns how many keys a process with a heap of this size remembers. */
+  static long maxKeys(long heapBytes) {
+    return Math.max(MIN_KEYS, (long) (KEYS_HEAP_SHARE * heapBytes) / KEY_HEAP_BYTES);
+  }
+
+  /** Returns whether a request has a new key and no further key can be remembered. */
+  boolean hasNoRoomFor(InFlightRequest request) {
+    return table.size() >= maxKeys && table.find(request).isEmpty();
+  }
+
   /** Returns the sequence number of the earlier attempt that a request repeats; 0 for none. */
   long originalSequence(InFlightRequest request) {
     return request.idempotent() ? table.originalSequence(request) : 0;
--- a/src/main/java/rosecleat/net/ClientMemory.java
+++ b/src/main/java/rosecleat/net/ClientMemory.java
@@ -14,9 +14,10 @@
   private static final long PROCESS_BYTES = 6 << 20;
 
   /**
-   * Share of the heap that may be in use; beyond it the garbage collector takes most of the CPU.
+   * Share of the heap for the process and its clients. The rest is for remembered keys, their
+   * results and garbage.
    */
-  private static final double USABLE_HEAP_SHARE = 0.6;
+  private static final double USABLE_HEAP_SHARE = 0.55;
 
   /** Least share of the heap for clients, which applies to the smallest heaps. */
   private static final double MIN_CLIENT_SHARE = 0.25;
--- a/src/test/java/rosecleat/net/MemoryPoolTest.java
+++ b/src/test/java/rosecleat/net/MemoryPoolTest.java
@@ -68,8 +68,10 @@
         (long) memory.maxConnections() * (memory.readBufferBytes() + (3 << 10))
             + memory.incompleteInput().limitBytes()
             + memory.requests().limitBytes()
+            + memory.readAhead().limitBytes()
             + memory.output().limitBytes();
-    assertTrue(sum <= Math.max(0.6 * (heapMib << 20) - (6 << 20), (heapMib << 20) / 4.0), "" + sum);
+    assertTrue(
+        sum <= Math.max(0.55 * (heapMib << 20) - (6 << 20), (heapMib << 20) / 4.0), "" + sum);
     assertTrue(memory.incompleteInput().limitBytes() > 0);
   }
 }
