Let ordinary tags count for nothing in the memory of incomplete input

What callers saw: nothing yet; found by reading. A connection that had used any tag held 64 counted bytes from then on, and was thus the oldest small holder, which is closed first where memory is short.

Cause: TagWindow counted the capacity of its array, which a single tag allocates.

Why this works: up to eight tags above the floor belong to what a connection takes in any case; a larger array is dropped when its gaps are filled.

Measured: TagWindowTest.

--- a/src/main/java/rosecleat/front/resp/TagWindow.java
+++ b/src/main/java/rosecleat/front/resp/TagWindow.java
@@ -44,9 +44,12 @@
     return true;
   }
 
-  /** Returns the heap that the stored tags occupy. */
+  /**
+   * Returns the heap that the stored tags occupy beyond the few of a client that uses its tags in
+   * about ascending order.
+   */
   int heldBytes() {
-    return Long.BYTES * tags.length;
+    return tags.length > INITIAL_CAPACITY ? Long.BYTES * tags.length : 0;
   }
 
   private void insert(int index, long tag) {
@@ -61,5 +64,8 @@
   private void removeLowest(int number) {
     System.arraycopy(tags, number, tags, 0, count - number);
     count -= number;
+    if (count == 0 && tags.length > INITIAL_CAPACITY) {
+      tags = NO_TAGS;
+    }
   }
 }
