Merge small answers, and give connections less of the memory where the heap is small

What callers saw: 900 clients with 120 unsound requests each and tags far apart delayed a balancer's answers by up to 3.4 s, some failed or were refused, and at 112 MB its connection was closed.

Cause: each answer was a write of its own and a task of its own on the loop, and a line was formatted for each although the log's queue was full. At 112 MB connections took two thirds of the memory for clients, so that the part of small incomplete messages was too small for a message in several reads.

Why this works: queued answers are merged up to 16 KiB, lines that would be dropped are not formatted, a turn takes up to 4 KiB of whole buffers, and what the parts leave is shared more evenly. Bodies of uwsgi replies take at most 0.75 of the memory for output, so that a further one gets 502 and cuts off no other.

--- a/src/main/java/rosecleat/front/uwsgi/EncodedVars.java
+++ b/src/main/java/rosecleat/front/uwsgi/EncodedVars.java
@@ -66,7 +66,7 @@
   }
 
   private int length(int position) {
-    return block[position] & 0xff | (block[position + 1] & 0xff) << 8;
+    return (block[position] & 0xff) | ((block[position + 1] & 0xff) << 8);
   }
 
   /** Returns the string whose length field is at a position. */
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiConnection.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiConnection.java
@@ -31,6 +31,9 @@
   /** Objects of a request in flight beside its vars and body. */
   private static final int REQUEST_OBJECT_BYTES = 3 << 10;
 
+  /** Share of the memory for unread output that bodies may take; the rest is for other output. */
+  private static final double BODIES_OUTPUT_SHARE = 0.75;
+
   private static final byte[] EMPTY_BODY = new byte[0];
 
   /**
@@ -277,12 +280,17 @@
     }
   }
 
-  /** Reserves memory for a body; returns false if the body exceeds its limit or the budget. */
+  /**
+   * Reserves memory for a body; returns false if the body exceeds its limit or the budget, which is
+   * also limited by the memory for unread output, so that no other response is cut off for it.
+   */
   private boolean reserve(int bytes) {
     UwsgiLimits limits = frontend.limits();
+    long outputBytes = frontend.clientMemory().output().limitBytes();
+    long budgetBytes =
+        Math.min(limits.bufferedResponseBytes(), (long) (BODIES_OUTPUT_SHARE * outputBytes));
     if (bytes > limits.responseBytes()
-        || bytes + UwsgiFrontend.MAX_HEAD_BYTES > frontend.clientMemory().output().limitBytes()
-        || !frontend.responseBudget().tryReserve(bytes, limits.bufferedResponseBytes())) {
+        || !frontend.responseBudget().tryReserve(bytes, budgetBytes)) {
       return false;
     }
     reservedBytes = bytes;
--- a/src/main/java/rosecleat/front/uwsgi/UwsgiFrontend.java
+++ b/src/main/java/rosecleat/front/uwsgi/UwsgiFrontend.java
@@ -24,7 +24,7 @@
   private static final int PAUSE_READING_ABOVE_BYTES = 64 << 10;
 
   /** The write queue's capacity for the head of a response, in addition to the body. */
-  static final int MAX_HEAD_BYTES = 20 << 10;
+  private static final int MAX_HEAD_BYTES = 20 << 10;
 
   private final EventLoop loop;
   private final Core core;
--- a/src/main/java/rosecleat/log/Log.java
+++ b/src/main/java/rosecleat/log/Log.java
@@ -88,6 +88,10 @@
     if (writer == null) {
       return;
     }
+    if (lines.remainingCapacity() == 0) { // most of a flood's lines need not be formatted
+      dropped.incrementAndGet();
+      return;
+    }
     String shortened =
         line.length() > MAX_LINE_CHARS ? line.substring(0, MAX_LINE_CHARS) + "..." : line;
     if (!lines.offer(Instant.now() + " " + level + " " + withoutControlCharacters(shortened))) {
--- a/src/main/java/rosecleat/net/ClientMemory.java
+++ b/src/main/java/rosecleat/net/ClientMemory.java
@@ -32,11 +32,11 @@
   private static final double CONNECTIONS_SHARE = 1 / 3.0;
 
   /** Most of the memory for clients that connections with the smallest read buffers may take. */
-  private static final double MAX_CONNECTIONS_SHARE = 2 / 3.0;
+  private static final double MAX_CONNECTIONS_SHARE = 0.5;
 
-  private static final double INCOMPLETE_SHARE = 0.40;
+  private static final double INCOMPLETE_SHARE = 0.30;
   private static final double REQUESTS_SHARE = 0.30;
-  private static final double OUTPUT_SHARE = 0.20;
+  private static final double OUTPUT_SHARE = 0.30;
   private static final double READ_AHEAD_SHARE = 0.10;
 
   /** Most incomplete input of a client that sends requests of usual size, with its objects. */
--- a/src/main/java/rosecleat/net/Connection.java
+++ b/src/main/java/rosecleat/net/Connection.java
@@ -60,6 +60,9 @@
    */
   static final long MAX_IN_FLIGHT_NS = 60_000_000;
 
+  /** Input after which the other connections get their turn, counted in whole buffers. */
+  private static final int TURN_BYTES = 4 << 10;
+
   private final EventLoop loop;
   private final AsynchronousSocketChannel channel;
   private final ConnectionLimits limits;
@@ -244,24 +247,19 @@
   }
 
   /**
-   * Lets the handler handle one buffer of input, or part of it. The rest waits for the other
-   * connections' turns on the loop, and until the peer has read what it was sent.
+   * Lets the handler handle some input. The rest waits for the other connections' turns on the
+   * loop, and until the peer has read what it was sent.
    */
   private void handleInput() {
     if (turnScheduled || state == State.CLOSED || closeAtEndOfInput() || isOutputBackedUp()) {
       return;
     }
-    ByteBuffer input = reader.input();
-    if (input != null) {
-      dispatchInput(input);
+    if (reader.input() != null) {
+      boolean turnEnded = handleBuffers();
       if (state == State.CLOSED) {
         return;
       }
-      boolean leftInput = state != State.HALF_CLOSED && input.hasRemaining() && handler.leftInput();
-      if (!leftInput) {
-        reader.releaseInput();
-      }
-      if (reader.input() != null || reader.end() != null) {
+      if (turnEnded || reader.end() != null) {
         turnScheduled = true;
         loop.execute(this::takeTurn);
       }
@@ -270,6 +268,26 @@
     shutdownOutputWhenDrained();
   }
 
+  /** Lets the handler handle input; returns true if its turn ended before the input did. */
+  private boolean handleBuffers() {
+    int handledBytes = 0;
+    ByteBuffer input = reader.input();
+    while (input != null && handledBytes < TURN_BYTES) {
+      int position = input.position();
+      dispatchInput(input);
+      if (state == State.CLOSED) {
+        return false;
+      }
+      handledBytes += input.position() - position;
+      if (state != State.HALF_CLOSED && input.hasRemaining() && handler.leftInput()) {
+        return true;
+      }
+      reader.releaseInput();
+      input = reader.input();
+    }
+    return input != null;
+  }
+
   private void takeTurn() {
     turnScheduled = false;
     handleInput();
--- a/src/main/java/rosecleat/net/InputReader.java
+++ b/src/main/java/rosecleat/net/InputReader.java
@@ -44,7 +44,6 @@
   private int depth;
 
   // The following fields are guarded by this object's monitor.
-  private final ByteBuffer[] ownBuffers = new ByteBuffer[OWN_BUFFERS];
   private final ArrayDeque<ByteBuffer> unused = new ArrayDeque<>(OWN_BUFFERS);
   private final ArrayDeque<ByteBuffer> arrived = new ArrayDeque<>(OWN_BUFFERS);
   private int extraBytes;
@@ -70,11 +69,15 @@
     this.memory = memory;
     this.available = available;
     for (int i = 0; i < OWN_BUFFERS; i++) {
-      ownBuffers[i] = ByteBuffer.allocate(Math.max(1, bufferBytes / OWN_BUFFERS));
-      unused.add(ownBuffers[i]);
+      unused.add(ByteBuffer.allocate(ownBufferBytes(bufferBytes)));
     }
   }
 
+  /** Returns the size of one of its own buffers, which is less than that of a further buffer. */
+  private static int ownBufferBytes(int bufferBytes) {
+    return Math.max(1, Math.min(bufferBytes / OWN_BUFFERS, MIN_EXTRA_BUFFER_BYTES / 2));
+  }
+
   /** Starts to read unless a read is in progress, the input has ended or no buffer is free. */
   void read() {
     ByteBuffer buffer = beginRead();
@@ -158,7 +161,7 @@
   /** Releases the buffer that {@link #input} returns. */
   synchronized void releaseInput() {
     ByteBuffer released = announced.remove();
-    if (released == ownBuffers[0] || released == ownBuffers[1]) {
+    if (released.capacity() < MIN_EXTRA_BUFFER_BYTES) {
       unused.add(released.clear());
     } else {
       extraBytes -= released.capacity();
--- a/src/main/java/rosecleat/net/WriteQueue.java
+++ b/src/main/java/rosecleat/net/WriteQueue.java
@@ -73,12 +73,29 @@
 
   /** Returns a view of the next bytes to write; the queue must not be empty. */
   ByteBuffer nextChunk() {
+    if (buffers.size() > 1 && buffers.element().remaining() < MAX_CHUNK_BYTES) {
+      mergeFirstBuffers();
+    }
     ByteBuffer first = buffers.element();
     ByteBuffer chunk = first.duplicate();
     chunk.limit(Math.min(first.limit(), first.position() + MAX_CHUNK_BYTES));
     return chunk;
   }
 
+  /**
+   * Merges small buffers at the head of the queue, so that one write operation carries them all.
+   */
+  private void mergeFirstBuffers() {
+    ByteBuffer merged = ByteBuffer.allocate(Math.min(MAX_CHUNK_BYTES, queuedBytes));
+    int count = 0;
+    while (!buffers.isEmpty() && buffers.element().remaining() <= merged.remaining()) {
+      merged.put(buffers.remove());
+      count++;
+    }
+    buffers.addFirst(merged.flip());
+    memory.removed(this, (count - 1) * BUFFER_OBJECT_BYTES, false);
+  }
+
   /** Removes {@code count} written bytes from the first buffer. */
   void written(int count) {
     lastProgressNs = System.nanoTime();
