--- a/src/test/java/rosecleat/front/resp/TagWindowTest.java
+++ b/src/test/java/rosecleat/front/resp/TagWindowTest.java
@@ -44,7 +44,7 @@
     Set<Long> accepted = new HashSet<>();
     Random random = new Random(46);
     for (int i = 0; i < 20_000; i++) {
-      long tag = 1 + random.nextInt(3_000);
+      long tag = 1L + random.nextInt(3_000);
       if (window.markUsed(tag)) {
         assertTrue(accepted.add(tag), "tag " + tag);
       }
--- a/src/test/java/rosecleat/net/InputReaderTest.java
+++ b/src/test/java/rosecleat/net/InputReaderTest.java
@@ -89,19 +89,23 @@
     return socket;
   }
 
+  /** Sends bytes and closes the connection before the loop can handle any of them. */
+  private void sendAndClose(int bytes) throws Exception {
+    Socket peer = connect();
+    gate.hold();
+    peer.getOutputStream().write(new byte[bytes]);
+    peer.close();
+    gate.settle();
+    gate.release();
+    ended.get(5, TimeUnit.SECONDS);
+  }
+
   /** All input in front of the end is handled where the peer's messages matter without the peer. */
   @ParameterizedTest
   @ValueSource(ints = {1, 512, 1_024, 1_025, 40_000})
   void inputInFrontOfTheEndIsHandled(int bytes) throws Exception {
-    try (Socket peer = connect()) {
-      gate.hold();
-      peer.getOutputStream().write(new byte[bytes]);
-      peer.close();
-      gate.settle();
-      gate.release();
-      ended.get(5, TimeUnit.SECONDS);
-      assertEquals(bytes, gate.call(() -> receivedBytes));
-    }
+    sendAndClose(bytes);
+    assertEquals(bytes, gate.call(() -> receivedBytes));
   }
 
   /** Guards against handling what a client sent that has closed its connection by then. */
@@ -109,15 +113,8 @@
   @ValueSource(ints = {1, 512, 1_024, 1_025, 40_000})
   void inputInFrontOfTheEndIsDroppedForClients(int bytes) throws Exception {
     discards = true;
-    try (Socket peer = connect()) {
-      gate.hold();
-      peer.getOutputStream().write(new byte[bytes]);
-      peer.close();
-      gate.settle();
-      gate.release();
-      ended.get(5, TimeUnit.SECONDS);
-      assertEquals(0, gate.call(() -> receivedBytes));
-    }
+    sendAndClose(bytes);
+    assertEquals(0, gate.call(() -> receivedBytes));
   }
 
   /**
