--- a/src/test/java/rosecleat/flood/GoneClientTest.java
+++ b/src/test/java/rosecleat/flood/GoneClientTest.java
@@ -21,6 +21,7 @@
 /** What becomes of the requests of a client that has closed its connection. */
 class GoneClientTest {
   private static final int MEMORY_MB = 192;
+  private static final int SMALL_MEMORY_MB = 112;
   private static final int UWSGI_CONNECTIONS = 64;
   private static final int CLIENTS = 10;
 
@@ -79,6 +80,14 @@
     assertEquals(1, starts() - before, "only the request whose client stayed may start");
   }
 
+  /** The memory for input that is read ahead is smaller than what these clients sent together. */
+  @Test
+  void requestsOfGoneClientsAreNotStartedAtSmallMemory() throws Exception {
+    node.close();
+    node = DeployedNode.start(folder, SMALL_MEMORY_MB, UWSGI_CONNECTIONS);
+    requestsOfGoneClientAreNotStarted(25, 2_000);
+  }
+
   @Test
   void uwsgiRequestsOfGoneClientsAreNotStarted() throws Exception {
     awaitAnswer();
