Bound a memory pool as a whole where accounts shrink from large to small

What callers saw: nothing yet; found by reading. Clients that hold much and give most of it back, one after the other, could make a pool pass its limit.

Cause: an account that shrinks is not refused, and moved its bytes from the part of large accounts to that of small ones, past the latter's limit, which left the former free for the next.

Evidence: MemoryPoolTest.accountsThatBecomeSmallDoNotPassTheLimit held 1,050 of 1,000 bytes.

Why this works: an account becomes large only where the whole pool has room, small ones stay within their part as they grow, and nothing else adds bytes, so the sum never passes the limit.

Measured: the test failed before and passes.

--- a/src/main/java/rosecleat/net/MemoryPool.java
+++ b/src/main/java/rosecleat/net/MemoryPool.java
@@ -102,9 +102,13 @@
       return heldBytes;
     }
 
+    /**
+     * Small accounts may hold more than their part, since an account that shrinks is not refused.
+     */
     private boolean hasRoomAsLarge(long bytes) {
       long alreadyCounted = isSmall(heldBytes) ? 0 : heldBytes;
-      return usedByLarge - alreadyCounted + bytes <= limitBytes - smallLimitBytes;
+      return usedByLarge - alreadyCounted + bytes <= limitBytes - smallLimitBytes
+          && usedBytes() - heldBytes + bytes <= limitBytes;
     }
 
     private boolean makeRoom(long bytes) {
--- a/src/test/java/rosecleat/net/MemoryPoolTest.java
+++ b/src/test/java/rosecleat/net/MemoryPoolTest.java
@@ -59,6 +59,22 @@
     assertEquals(50, pool.usedBytes());
   }
 
+  /**
+   * Guards the sum against accounts that hold much, give most of it back and so leave the part of
+   * large accounts to others, one after the other.
+   */
+  @Test
+  void accountsThatBecomeSmallDoNotPassTheLimit() {
+    MemoryPool pool = new MemoryPool(1_000, 50, 10);
+    for (int i = 0; i < 100; i++) {
+      MemoryPool.Account account = pool.openAccount();
+      if (account.tryHold(60)) {
+        account.release(10);
+      }
+      assertTrue(pool.usedBytes() <= 1_000, pool.usedBytes() + " bytes after account " + i);
+    }
+  }
+
   /** All parts together stay within the heap, beside what the process itself needs. */
   @ParameterizedTest
   @CsvSource({"12, 128", "12, 1024", "16, 1024", "26, 1024", "32, 960", "40, 1024", "40, 4096"})
